--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Load and experiments. */
+@NullMarked
+package org.acaciapond.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Command line of the operators. */
+@NullMarked
+package org.acaciapond.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-common/src/main/java/org/acaciapond/common/lifecycle/ManagedService.java
@@ -0,0 +1,13 @@
+package org.acaciapond.common.lifecycle;
+
+import io.smallrye.mutiny.Uni;
+
+/** Component that owns resources between its start and its stop. */
+public interface ManagedService {
+
+  /** Acquires the resources; the result fails if the service cannot run. */
+  Uni<Void> start();
+
+  /** Releases the resources in an orderly way; safe to call more than once. */
+  Uni<Void> stop();
+}
--- /dev/null
+++ b/acaciapond-common/src/main/java/org/acaciapond/common/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Typed settings: descriptors with description, default and constraint, and their JSON loader. */
+@NullMarked
+package org.acaciapond.common.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-common/src/main/java/org/acaciapond/common/time/package-info.java
@@ -0,0 +1,5 @@
+/** Clock interface that is passed in wherever time is read. */
+@NullMarked
+package org.acaciapond.common.time;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/LimitsConfig.java
@@ -0,0 +1,18 @@
+package org.acaciapond.config.model;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * What each target of a service can take.
+ *
+ * @param slots calls that a target runs at the same time
+ * @param queue calls that may wait for a slot at the node of a target
+ * @param connections connections that a target accepts
+ * @param maxBodyBytes largest body of a request
+ */
+public record LimitsConfig(
+    int slots, int queue, int connections, @JsonProperty("max_body_bytes") long maxBodyBytes) {
+
+  /** Limits of a service that states none. */
+  public static final LimitsConfig DEFAULT = new LimitsConfig(12, 12, 130, 67_108_864L);
+}
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/MoveConfig.java
@@ -0,0 +1,12 @@
+package org.acaciapond.config.model;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.time.Instant;
+
+/**
+ * Request to move the traffic of a service to another version.
+ *
+ * @param toVersion version that is to take over
+ * @param by time by which the move should be complete
+ */
+public record MoveConfig(@JsonProperty("to_version") String toVersion, Instant by) {}
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/ServiceConfig.java
@@ -0,0 +1,38 @@
+package org.acaciapond.config.model;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One service of the mesh.
+ *
+ * @param name unique name
+ * @param dependsOn names of the services that it may call
+ * @param exposed whether callers outside the mesh may call it
+ * @param routes its paths; the longest matching prefix applies
+ * @param limits what each of its targets can take
+ * @param versions versions of its targets that may receive traffic
+ * @param currentVersion version that receives all traffic outside a move
+ * @param move move to another version, if one is requested
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record ServiceConfig(
+    String name,
+    @JsonProperty("depends_on") List<String> dependsOn,
+    boolean exposed,
+    List<RouteConfig> routes,
+    LimitsConfig limits,
+    List<VersionConfig> versions,
+    @JsonProperty("current_version") String currentVersion,
+    @Nullable MoveConfig move) {
+
+  /** Creates a service; absent lists are empty and absent limits are the defaults. */
+  public ServiceConfig {
+    dependsOn = dependsOn == null ? List.of() : List.copyOf(dependsOn);
+    routes = routes == null ? List.of() : List.copyOf(routes);
+    limits = limits == null ? LimitsConfig.DEFAULT : limits;
+    versions = versions == null ? List.of() : List.copyOf(versions);
+  }
+}
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/package-info.java
@@ -0,0 +1,5 @@
+/** Immutable records of the configuration text. */
+@NullMarked
+package org.acaciapond.config.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/snapshot/package-info.java
@@ -0,0 +1,5 @@
+/** Checked snapshots of the configuration in the scope of one node. */
+@NullMarked
+package org.acaciapond.config.snapshot;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigVersion.java
@@ -0,0 +1,32 @@
+package org.acaciapond.config.version;
+
+/**
+ * Position of an accepted edit in the total order of the configuration.
+ *
+ * @param epoch grows only when the table is rebuilt from nothing
+ * @param sequence number of the edit within the epoch, from 1; 0 is the empty configuration
+ * @param digest SHA-256 of the edit object, in hexadecimal
+ */
+public record ConfigVersion(long epoch, long sequence, String digest)
+    implements Comparable<ConfigVersion> {
+
+  /** Version before the first edit. */
+  public static final ConfigVersion NONE = new ConfigVersion(0, 0, "");
+
+  /** Compares by epoch, then by sequence; the digest takes no part. */
+  @Override
+  public int compareTo(ConfigVersion other) {
+    int byEpoch = Long.compare(epoch, other.epoch);
+    return byEpoch != 0 ? byEpoch : Long.compare(sequence, other.sequence);
+  }
+
+  /** Returns whether this version comes after the other. */
+  public boolean isAfter(ConfigVersion other) {
+    return compareTo(other) > 0;
+  }
+
+  /** Returns whether the other version has this position but other content. */
+  public boolean contradicts(ConfigVersion other) {
+    return compareTo(other) == 0 && !digest.equals(other.digest);
+  }
+}
--- /dev/null
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/package-info.java
@@ -0,0 +1,5 @@
+/** Distribution decisions. */
+@NullMarked
+package org.acaciapond.distribution;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Membership decisions. */
+@NullMarked
+package org.acaciapond.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between nodes, codec, framing and connections. */
+@NullMarked
+package org.acaciapond.protocol;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/package-info.java
@@ -0,0 +1,5 @@
+/** Rollout decisions. */
+@NullMarked
+package org.acaciapond.rollout;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Request path decisions. */
+@NullMarked
+package org.acaciapond.routing;
+
+import org.jspecify.annotations.NullMarked;
