--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -0,0 +1,147 @@
+package org.acaciapond.node;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.util.Arrays;
+import java.util.List;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.settings.Settings;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.snapshot.Snapshot;
+import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.node.admin.AdminServer;
+import org.acaciapond.node.distribution.HeadPoller;
+import org.acaciapond.node.membership.AnnounceService;
+import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.node.proxy.InboundProxy;
+import org.acaciapond.node.proxy.OutboundProxy;
+import org.acaciapond.platform.client.HttpPlatformClient;
+import org.acaciapond.protocol.codec.AnnounceMessageCodec;
+import org.acaciapond.protocol.codec.CodecRegistry;
+import org.acaciapond.protocol.message.MemberRecord;
+import org.acaciapond.protocol.transport.PeerAddress;
+import org.acaciapond.protocol.transport.PeerConnection;
+import org.acaciapond.protocol.transport.PeerTransport;
+
+/** Assembly of the services of one node. */
+public final class NodeProcess implements ManagedService {
+
+  private static final long PLATFORM_TIMEOUT_MS = 2_000;
+
+  private final Settings settings;
+  private final TimeSource time;
+  private final SnapshotHolder holder;
+  private final LocalTarget localTarget = new LocalTarget();
+  private final PeerTransport transport;
+  private final AnnounceService announce;
+  private final InboundProxy inbound;
+  private final OutboundProxy outbound;
+  private final AdminServer admin;
+  private final List<ManagedService> services;
+
+  /** Creates a node. */
+  public NodeProcess(Vertx vertx, Settings settings, TimeSource time) {
+    this.settings = settings;
+    this.time = time;
+    String ownService = settings.get(NodeSettings.SERVICE);
+    this.holder = new SnapshotHolder(Snapshot.empty(ownService));
+    String ip = settings.get(NodeSettings.IP);
+    this.transport =
+        new PeerTransport(
+            vertx,
+            new CodecRegistry(List.of(new AnnounceMessageCodec())),
+            new PeerAddress(ip, port(NodeSettings.PEER_PORT)),
+            this::acceptPeer);
+    this.announce =
+        new AnnounceService(
+            vertx,
+            time,
+            transport,
+            Arrays.stream(settings.get(NodeSettings.SEEDS)).map(PeerAddress::parse).toList(),
+            this::selfRecord,
+            settings.get(NodeSettings.ANNOUNCE_INTERVAL_MS));
+    this.inbound =
+        new InboundProxy(vertx, holder, localTarget, ip, port(NodeSettings.INBOUND_PORT));
+    this.outbound = new OutboundProxy(vertx, holder, announce, port(NodeSettings.OUTBOUND_PORT));
+    this.admin = new AdminServer(vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT));
+    PeerAddress platformAddress = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
+    HttpPlatformClient platform =
+        new HttpPlatformClient(
+            vertx, platformAddress.ip(), platformAddress.port(), PLATFORM_TIMEOUT_MS);
+    HeadPoller poller =
+        new HeadPoller(
+            vertx, platform, holder, ownService, settings.get(NodeSettings.POLL_INTERVAL_MS));
+    this.services = List.of(transport, inbound, outbound, admin, announce, poller);
+  }
+
+  private void acceptPeer(PeerConnection connection) {
+    connection.onMessage(announce::onMessage);
+  }
+
+  private int port(org.acaciapond.common.settings.SettingDescriptor<Long> descriptor) {
+    return settings.get(descriptor).intValue();
+  }
+
+  private MemberRecord selfRecord() {
+    LocalTarget.Announcement target = localTarget.announcement();
+    return new MemberRecord(
+        settings.get(NodeSettings.HOST_ID),
+        time.now().toEpochMilli(),
+        settings.get(NodeSettings.IP),
+        transport.address().port(),
+        inbound.port(),
+        settings.get(NodeSettings.FAILURE_DOMAIN),
+        target == null ? "" : settings.get(NodeSettings.SERVICE),
+        target == null ? "" : target.version(),
+        target == null ? 1 : target.weight(),
+        target != null && target.leaving());
+  }
+
+  @Override
+  public Uni<Void> start() {
+    Uni<Void> chain = Uni.createFrom().voidItem();
+    for (ManagedService service : services) {
+      chain = chain.chain(service::start);
+    }
+    return chain;
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    Uni<Void> chain = Uni.createFrom().voidItem();
+    for (int i = services.size() - 1; i >= 0; i--) {
+      chain = chain.chain(services.get(i)::stop);
+    }
+    return chain;
+  }
+
+  /** Returns the holder of the snapshot in force. */
+  public SnapshotHolder snapshots() {
+    return holder;
+  }
+
+  /** Returns the holder of the announcement of the target. */
+  public LocalTarget localTarget() {
+    return localTarget;
+  }
+
+  /** Returns the port of the outbound listener. */
+  public int outboundPort() {
+    return outbound.port();
+  }
+
+  /** Returns the port of the inbound listener. */
+  public int inboundPort() {
+    return inbound.port();
+  }
+
+  /** Returns the port of the admin listener. */
+  public int adminPort() {
+    return admin.port();
+  }
+
+  /** Returns the address of the peer listener. */
+  public PeerAddress peerAddress() {
+    return transport.address();
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/admin/AdminServer.java
@@ -0,0 +1,85 @@
+package org.acaciapond.node.admin;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.config.snapshot.Snapshot;
+import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.node.membership.LocalTarget;
+
+/** Loopback listener for health, status and the announcements of the target. */
+public final class AdminServer implements ManagedService {
+
+  private static final long MAX_BODY_BYTES = 16 * 1024;
+
+  private final SnapshotHolder holder;
+  private final LocalTarget localTarget;
+  private final HttpServer server;
+
+  /** Creates a listener. */
+  public AdminServer(Vertx vertx, SnapshotHolder holder, LocalTarget localTarget, int port) {
+    this.holder = holder;
+    this.localTarget = localTarget;
+    Router router = Router.router(vertx);
+    router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+    router.get("/live").handler(context -> context.response().end());
+    router.get("/ready").handler(this::ready);
+    router.get("/status").handler(this::status);
+    router.put("/target").handler(this::announceTarget);
+    this.server =
+        vertx
+            .createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(port))
+            .requestHandler(router);
+  }
+
+  @Override
+  public Uni<Void> start() {
+    return Uni.createFrom()
+        .completionStage(() -> server.listen().toCompletionStage())
+        .replaceWithVoid();
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    return Uni.createFrom().completionStage(() -> server.close().toCompletionStage());
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return server.actualPort();
+  }
+
+  private void ready(RoutingContext context) {
+    boolean ready = holder.current().version().sequence() > 0;
+    context.response().setStatusCode(ready ? 200 : 503).end();
+  }
+
+  private void status(RoutingContext context) {
+    Snapshot snapshot = holder.current();
+    context
+        .response()
+        .end(
+            new JsonObject()
+                .put("epoch", snapshot.version().epoch())
+                .put("sequence", snapshot.version().sequence())
+                .put("digest", snapshot.version().digest())
+                .toBuffer());
+  }
+
+  private void announceTarget(RoutingContext context) {
+    JsonObject body = context.body().asJsonObject();
+    localTarget.announce(
+        new LocalTarget.Announcement(
+            body.getString("version"),
+            body.getInteger("port"),
+            body.getInteger("weight", 1),
+            body.getBoolean("leaving", false)));
+    context.response().setStatusCode(204).end();
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/HeadPoller.java
@@ -0,0 +1,99 @@
+package org.acaciapond.node.distribution;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.config.model.MeshConfig;
+import org.acaciapond.config.snapshot.Scope;
+import org.acaciapond.config.snapshot.Snapshot;
+import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.config.text.ConfigTextParser;
+import org.acaciapond.config.version.ConfigCodec;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.config.version.ServiceSlice;
+import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.PlatformClient;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Service that reads the head from the platform and puts newer versions in force. */
+public final class HeadPoller implements ManagedService {
+
+  private static final Logger LOG = LogManager.getLogger(HeadPoller.class);
+
+  private final Vertx vertx;
+  private final PlatformClient platform;
+  private final SnapshotHolder holder;
+  private final String ownService;
+  private final long intervalMs;
+  private final AtomicBoolean reading = new AtomicBoolean();
+  private long timerId;
+
+  /** Creates a poller. */
+  public HeadPoller(
+      Vertx vertx,
+      PlatformClient platform,
+      SnapshotHolder holder,
+      String ownService,
+      long intervalMs) {
+    this.vertx = vertx;
+    this.platform = platform;
+    this.holder = holder;
+    this.ownService = ownService;
+    this.intervalMs = intervalMs;
+  }
+
+  @Override
+  public Uni<Void> start() {
+    timerId = vertx.setPeriodic(0, intervalMs, id -> poll());
+    return Uni.createFrom().voidItem();
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    vertx.cancelTimer(timerId);
+    return Uni.createFrom().voidItem();
+  }
+
+  private void poll() {
+    if (!reading.compareAndSet(false, true)) {
+      return;
+    }
+    platform
+        .readRow(ConfigHead.KEY)
+        .chain(
+            row -> {
+              ConfigVersion version =
+                  row.map(r -> ConfigHead.decode(r.value()).version()).orElse(ConfigVersion.NONE);
+              return version.isAfter(holder.current().version())
+                  ? fetch(version)
+                  : Uni.createFrom().voidItem();
+            })
+        .onTermination()
+        .invoke(() -> reading.set(false))
+        .subscribe()
+        .with(ignored -> {}, error -> LOG.debug("Cannot read the head", error));
+  }
+
+  private Uni<Void> fetch(ConfigVersion version) {
+    return platform
+        .readObject(version.digest())
+        .invoke(object -> activate(version, object))
+        .replaceWithVoid();
+  }
+
+  private void activate(ConfigVersion version, Optional<byte[]> object) {
+    if (object.isEmpty()) {
+      return;
+    }
+    MeshConfig config = ConfigTextParser.parse(ConfigCodec.decodeEdit(object.get()).text());
+    List<ServiceSlice> slices = config.services().stream().map(ConfigCodec::slice).toList();
+    Snapshot snapshot = Snapshot.build(version, Scope.of(ownService, config), slices);
+    if (holder.offer(snapshot)) {
+      LOG.info("Configuration version {} is in force", version.sequence());
+    }
+  }
+}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/package-info.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/package-info.java
@@ -1,4 +1,4 @@
-/** The process in the slot of a host. */
+/** Process in the slot of a host: entry point, settings and assembly. */
 @NullMarked
 package org.acaciapond.node;
 
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -0,0 +1,28 @@
+package org.acaciapond.node.proxy;
+
+/** Names of the headers that nodes add to calls. */
+public final class MeshHeaders {
+
+  /** Identity of the call. */
+  public static final String CALL_ID = "x-acaciapond-call-id";
+
+  /** Time left until the deadline, in milliseconds. */
+  public static final String DEADLINE_MS = "x-acaciapond-deadline-ms";
+
+  /** Service of the caller. */
+  public static final String CALLER = "x-acaciapond-caller";
+
+  /** Version of the target that answered. */
+  public static final String VERSION = "x-acaciapond-version";
+
+  /** Fate of a refused call: {@code not-run} or {@code unknown}. */
+  public static final String OUTCOME = "x-acaciapond-outcome";
+
+  /** Value of {@link #OUTCOME} when nothing reached the target. */
+  public static final String OUTCOME_NOT_RUN = "not-run";
+
+  /** Value of {@link #OUTCOME} when it is not known whether the call ran. */
+  public static final String OUTCOME_UNKNOWN = "unknown";
+
+  private MeshHeaders() {}
+}
--- /dev/null
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/PlatformErrorCode.java
@@ -0,0 +1,11 @@
+package org.acaciapond.platform.client;
+
+import org.acaciapond.common.error.ErrorCode;
+
+/** Error codes of the platform client. */
+public enum PlatformErrorCode implements ErrorCode {
+  /** The platform gave no usable answer in time. */
+  PLATFORM_UNAVAILABLE,
+  /** The platform gave an answer that breaks its protocol. */
+  PLATFORM_PROTOCOL
+}
--- /dev/null
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/WriteResult.java
@@ -0,0 +1,20 @@
+package org.acaciapond.platform.client;
+
+/**
+ * What became of a conditional write.
+ *
+ * @param outcome whether it took effect
+ * @param revision new revision when applied, otherwise 0
+ */
+public record WriteResult(Outcome outcome, long revision) {
+
+  /** Fate of a write. */
+  public enum Outcome {
+    /** The write is known to have taken effect. */
+    APPLIED,
+    /** The write is known not to have taken effect: the row had another revision. */
+    NOT_APPLIED,
+    /** It is not known whether the write took effect. */
+    UNKNOWN
+  }
+}
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/package-info.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/package-info.java
@@ -1,4 +1,4 @@
-/** Client of the table service and the object store. */
+/** Client of the table service and the object store of the platform. */
 @NullMarked
 package org.acaciapond.platform.client;
 
--- /dev/null
+++ b/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformMain.java
@@ -0,0 +1,46 @@
+package org.acaciapond.platform;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Entry point of the binary {@code acaciapond-platform}; exits 2 on wrong options. */
+public final class PlatformMain {
+
+  private static final Logger LOG = LogManager.getLogger(PlatformMain.class);
+  private static final int EXIT_BAD_INPUT = 2;
+  private static final int DEFAULT_PORT = 7000;
+
+  private PlatformMain() {}
+
+  /** Runs the stand-in until the process is ended. */
+  public static void main(String[] args) throws IOException {
+    OptionParser parser = new OptionParser();
+    OptionSpec<String> ip =
+        parser.accepts("ip", "address to listen on").withRequiredArg().defaultsTo("127.0.0.1");
+    OptionSpec<Integer> port =
+        parser
+            .accepts("port", "port to listen on")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(DEFAULT_PORT);
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+    } catch (OptionException e) {
+      System.err.println(e.getMessage());
+      parser.printHelpOn(System.err);
+      System.exit(EXIT_BAD_INPUT);
+      return;
+    }
+    PlatformServer server =
+        new PlatformServer(Vertx.vertx(), options.valueOf(ip), options.valueOf(port));
+    server.start().await().indefinitely();
+    LOG.info("Platform stand-in is listening on port {}", server.port());
+  }
+}
--- a/acaciapond-platform/src/main/java/org/acaciapond/platform/package-info.java
+++ b/acaciapond-platform/src/main/java/org/acaciapond/platform/package-info.java
@@ -1,4 +1,4 @@
-/** Stand-in for the table service and the object store. */
+/** Stand-in for the table service and the object store of the platform. */
 @NullMarked
 package org.acaciapond.platform;
 
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/CodecRegistry.java
@@ -0,0 +1,67 @@
+package org.acaciapond.protocol.codec;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.acaciapond.protocol.message.Message;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Immutable set of the codecs that a node understands. */
+public final class CodecRegistry {
+
+  private final Map<Integer, MessageCodec<?>> byTypeId = new HashMap<>();
+  private final Map<Class<?>, MessageCodec<?>> byType = new HashMap<>();
+
+  /** Creates a registry; type numbers must be unique. */
+  public CodecRegistry(List<MessageCodec<?>> codecs) {
+    for (MessageCodec<?> codec : codecs) {
+      if (byTypeId.put(codec.typeId(), codec) != null) {
+        throw new IllegalArgumentException("duplicate type " + codec.typeId());
+      }
+      byType.put(codec.type(), codec);
+    }
+  }
+
+  /** Encodes a message as the payload of a frame. */
+  public byte[] encode(Message message) {
+    MessageCodec<?> codec = byType.get(message.getClass());
+    if (codec == null) {
+      throw new ProtocolException(
+          ProtocolErrorCode.UNKNOWN_MESSAGE, message.getClass().getName(), null);
+    }
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(codec.typeId());
+      encodeWith(codec, message, packer);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new ProtocolException(ProtocolErrorCode.MALFORMED_MESSAGE, "cannot encode", e);
+    }
+  }
+
+  private static <M extends Message> void encodeWith(
+      MessageCodec<M> codec, Message message, MessageBufferPacker packer) throws IOException {
+    codec.encode(codec.type().cast(message), packer);
+  }
+
+  /** Decodes the payload of a frame; throws {@link ProtocolException} when it is malformed. */
+  public Message decode(byte[] payload) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      int typeId = unpacker.unpackInt();
+      MessageCodec<?> codec = byTypeId.get(typeId);
+      if (codec == null) {
+        throw new ProtocolException(ProtocolErrorCode.UNKNOWN_MESSAGE, "type " + typeId, null);
+      }
+      Message message = codec.decode(unpacker);
+      if (unpacker.hasNext()) {
+        throw new ProtocolException(ProtocolErrorCode.MALFORMED_MESSAGE, "trailing bytes", null);
+      }
+      return message;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new ProtocolException(ProtocolErrorCode.MALFORMED_MESSAGE, "cannot decode", e);
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/Message.java
@@ -0,0 +1,4 @@
+package org.acaciapond.protocol.message;
+
+/** Message between two nodes. */
+public interface Message {}
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/package-info.java
@@ -0,0 +1,5 @@
+/** Framed TCP connections between nodes. */
+@NullMarked
+package org.acaciapond.protocol.transport;
+
+import org.jspecify.annotations.NullMarked;
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Request path decisions. */
-@NullMarked
-package org.acaciapond.routing;
-
-import org.jspecify.annotations.NullMarked;
