--- /dev/null
+++ b/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
@@ -0,0 +1,132 @@
+package org.acaciapond.architecture;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaModifier;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
+import org.acaciapond.common.error.AcaciapondException;
+
+/** Guards against decision logic that reaches for the network, the clock or chance by itself. */
+@AnalyzeClasses(packages = "org.acaciapond", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayersTest {
+
+  private static final String[] PURE_PACKAGES = {
+    "org.acaciapond.config..",
+    "org.acaciapond.membership..",
+    "org.acaciapond.distribution..",
+    "org.acaciapond.routing..",
+    "org.acaciapond.rollout.."
+  };
+
+  @ArchTest
+  static final ArchRule decisionLogicHasNoNetwork =
+      noClasses()
+          .that()
+          .resideInAnyPackage(PURE_PACKAGES)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("io.vertx..", "io.netty..", "java.net..", "io.smallrye.mutiny..");
+
+  @ArchTest
+  static final ArchRule decisionLogicReadsNoSystemClock =
+      noClasses()
+          .that()
+          .resideInAnyPackage(PURE_PACKAGES)
+          .should()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(Instant.class, "now")
+          .orShould()
+          .callMethod(Clock.class, "systemUTC");
+
+  @ArchTest
+  static final ArchRule decisionLogicIsGivenItsRandomSource =
+      noClasses()
+          .that()
+          .resideInAnyPackage(PURE_PACKAGES)
+          .should()
+          .callMethod(ThreadLocalRandom.class, "current")
+          .orShould()
+          .callMethod(Math.class, "random")
+          .orShould()
+          .callConstructor(Random.class);
+
+  @ArchTest
+  static final ArchRule decisionModulesDoNotKnowTheEdge =
+      noClasses()
+          .that()
+          .resideInAnyPackage(PURE_PACKAGES)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.acaciapond.protocol..",
+              "org.acaciapond.platform..",
+              "org.acaciapond.node..",
+              "org.acaciapond.cli..",
+              "org.acaciapond.bench..");
+
+  @ArchTest
+  static final ArchRule nodeDoesNotKnowTheToolsAroundIt =
+      noClasses()
+          .that()
+          .resideInAPackage("org.acaciapond.node..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.acaciapond.cli..", "org.acaciapond.bench..");
+
+  @ArchTest
+  static final ArchRule membershipKnowsNoConfiguration =
+      noClasses()
+          .that()
+          .resideInAPackage("org.acaciapond.membership..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.acaciapond.config..",
+              "org.acaciapond.distribution..",
+              "org.acaciapond.routing..",
+              "org.acaciapond.rollout..");
+
+  @ArchTest
+  static final ArchRule modulesHaveNoCycles =
+      slices().matching("org.acaciapond.(*)..").should().beFreeOfCycles();
+
+  @ArchTest
+  static final ArchRule exceptionsCarryCodes =
+      classes()
+          .that()
+          .areAssignableTo(RuntimeException.class)
+          .should()
+          .beAssignableTo(AcaciapondException.class);
+
+  @ArchTest
+  static final ArchRule noMutableStaticState =
+      fields()
+          .that()
+          .areStatic()
+          .and()
+          .doNotHaveModifier(JavaModifier.SYNTHETIC)
+          .should()
+          .beFinal();
+
+  @ArchTest
+  static final ArchRule processesStartNoProcesses =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .belongToAnyOf(ProcessBuilder.class)
+          .orShould()
+          .callMethod(Runtime.class, "exec", String.class);
+}
