--- a/acaciapond-config/src/main/java/org/acaciapond/config/model/LimitsConfig.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/LimitsConfig.java
@@ -1,6 +1,8 @@
 package org.acaciapond.config.model;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What each target of a service can take.
@@ -15,4 +17,18 @@
 
   /** Limits of a service that states none. */
   public static final LimitsConfig DEFAULT = new LimitsConfig(12, 12, 130, 67_108_864L);
+
+  /** Creates limits from their JSON fields; an absent field has its default. */
+  @JsonCreator
+  static LimitsConfig fromJson(
+      @JsonProperty("slots") @Nullable Integer slots,
+      @JsonProperty("queue") @Nullable Integer queue,
+      @JsonProperty("connections") @Nullable Integer connections,
+      @JsonProperty("max_body_bytes") @Nullable Long maxBodyBytes) {
+    return new LimitsConfig(
+        slots == null ? DEFAULT.slots : slots,
+        queue == null ? DEFAULT.queue : queue,
+        connections == null ? DEFAULT.connections : connections,
+        maxBodyBytes == null ? DEFAULT.maxBodyBytes : maxBodyBytes);
+  }
 }
--- a/acaciapond-config/src/main/java/org/acaciapond/config/model/MoveConfig.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/MoveConfig.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.time.Instant;
+import java.util.Objects;
 
 /**
  * Request to move the traffic of a service to another version.
@@ -9,4 +10,11 @@
  * @param toVersion version that is to take over
  * @param by time by which the move should be complete
  */
-public record MoveConfig(@JsonProperty("to_version") String toVersion, Instant by) {}
+public record MoveConfig(@JsonProperty("to_version") String toVersion, Instant by) {
+
+  /** Creates a move. */
+  public MoveConfig {
+    Objects.requireNonNull(toVersion, "to_version");
+    Objects.requireNonNull(by, "by");
+  }
+}
--- a/acaciapond-config/src/main/java/org/acaciapond/config/model/RouteConfig.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/RouteConfig.java
@@ -1,7 +1,9 @@
 package org.acaciapond.config.model;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,4 +21,32 @@
     boolean idempotent,
     @JsonProperty("timeout_ms") long timeoutMs,
     @JsonProperty("max_retries") int maxRetries,
-    @Nullable String version) {}
+    @Nullable String version) {
+
+  /** Timeout of a route that states none. */
+  public static final long DEFAULT_TIMEOUT_MS = 5_000;
+
+  /** Retries of a route that states none. */
+  public static final int DEFAULT_MAX_RETRIES = 1;
+
+  /** Creates a route. */
+  public RouteConfig {
+    Objects.requireNonNull(path, "path");
+  }
+
+  /** Creates a route from its JSON fields; an absent field has its default. */
+  @JsonCreator
+  static RouteConfig fromJson(
+      @JsonProperty("path") String path,
+      @JsonProperty("idempotent") boolean idempotent,
+      @JsonProperty("timeout_ms") @Nullable Long timeoutMs,
+      @JsonProperty("max_retries") @Nullable Integer maxRetries,
+      @JsonProperty("version") @Nullable String version) {
+    return new RouteConfig(
+        path,
+        idempotent,
+        timeoutMs == null ? DEFAULT_TIMEOUT_MS : timeoutMs,
+        maxRetries == null ? DEFAULT_MAX_RETRIES : maxRetries,
+        version);
+  }
+}
--- a/acaciapond-config/src/main/java/org/acaciapond/config/model/ServiceConfig.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/model/ServiceConfig.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -30,6 +31,8 @@
 
   /** Creates a service; absent lists are empty and absent limits are the defaults. */
   public ServiceConfig {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(currentVersion, "current_version");
     dependsOn = dependsOn == null ? List.of() : List.copyOf(dependsOn);
     routes = routes == null ? List.of() : List.copyOf(routes);
     limits = limits == null ? LimitsConfig.DEFAULT : limits;
--- a/acaciapond-config/src/main/java/org/acaciapond/config/snapshot/Snapshot.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/snapshot/Snapshot.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.acaciapond.config.model.RouteConfig;
 import org.acaciapond.config.model.ServiceConfig;
 import org.acaciapond.config.model.VersionConfig;
@@ -34,23 +36,27 @@
 
   /** Returns the snapshot before the first configuration. */
   public static Snapshot empty(String ownService) {
-    Scope scope = new Scope(ownService, java.util.Set.of(), java.util.Set.of());
+    Scope scope = new Scope(ownService, Set.of(), Set.of());
     return new Snapshot(ConfigVersion.NONE, scope, Map.of(), Map.of());
   }
 
   /**
    * Builds a snapshot; throws {@link ConfigException} when a digest is wrong, a service of the
-   * scope is absent, or a route or move names a version that its service lacks.
+   * scope is absent, a route or move names a version that its service lacks, a slice is given
+   * twice, or the scope is not the own service with its direct dependencies.
    */
   public static Snapshot build(ConfigVersion version, Scope scope, List<ServiceSlice> slices) {
     Map<String, ServiceSlice> byName = new TreeMap<>();
     Map<String, ServiceConfig> services = new TreeMap<>();
     for (ServiceSlice slice : slices) {
       if (scope.reachable().contains(slice.service())) {
-        byName.put(slice.service(), slice);
+        if (byName.put(slice.service(), slice) != null) {
+          throw mismatch("two slices of " + slice.service());
+        }
         services.put(slice.service(), ConfigCodec.decodeSlice(slice));
       }
     }
+    checkScope(scope, services.get(scope.ownService()));
     for (String name : scope.reachable()) {
       ServiceConfig service = services.get(name);
       if (service == null) {
@@ -61,6 +67,23 @@
     return new Snapshot(version, scope, byName, services);
   }
 
+  /** Guards against a slice and a scope that were taken from different versions. */
+  private static void checkScope(Scope scope, @Nullable ServiceConfig own) {
+    Set<String> expected = new TreeSet<>();
+    if (own != null) {
+      expected.add(own.name());
+      expected.addAll(own.dependsOn());
+    }
+    if (!scope.reachable().equals(expected)) {
+      throw mismatch(
+          "scope of " + scope.ownService() + " is " + scope.reachable() + ", not " + expected);
+    }
+  }
+
+  private static ConfigException mismatch(String message) {
+    return new ConfigException(ConfigErrorCode.SCOPE_MISMATCH, message, null);
+  }
+
   private static void checkVersions(ServiceConfig service) {
     List<String> versions = service.versions().stream().map(VersionConfig::name).toList();
     if (!versions.contains(service.currentVersion())) {
--- a/acaciapond-config/src/main/java/org/acaciapond/config/snapshot/SnapshotHolder.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/snapshot/SnapshotHolder.java
@@ -1,9 +1,14 @@
 package org.acaciapond.config.snapshot;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import org.acaciapond.config.version.ConfigVersion;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Holder of the snapshot in force; replaces it in one step and never with an older one.
@@ -12,19 +17,22 @@
  */
 public final class SnapshotHolder {
 
+  private static final Logger LOG = LogManager.getLogger(SnapshotHolder.class);
+
   private final List<Consumer<Snapshot>> listeners = new CopyOnWriteArrayList<>();
   private final LongAdder refusedOlder = new LongAdder();
   private final LongAdder refusedContradicting = new LongAdder();
-  private volatile Snapshot current;
+  private final LongAdder failedListeners = new LongAdder();
+  private final AtomicReference<Snapshot> current;
 
   /** Creates a holder with an initial snapshot. */
   public SnapshotHolder(Snapshot initial) {
-    this.current = initial;
+    this.current = new AtomicReference<>(initial);
   }
 
   /** Returns the snapshot in force. */
   public Snapshot current() {
-    return current;
+    return Objects.requireNonNull(current.get());
   }
 
   /** Registers a listener that is called after each replacement. */
@@ -32,21 +40,50 @@
     listeners.add(listener);
   }
 
-  /** Puts a newer snapshot in force; returns false and counts when it is not newer. */
+  /**
+   * Puts a newer snapshot in force; returns false and counts when it is not newer.
+   *
+   * <p>Listeners run before the next offer is judged, so that they see the versions in order. A
+   * listener that throws is counted and does not keep the others from being called.
+   */
   public synchronized boolean offer(Snapshot next) {
-    if (next.version().contradicts(current.version())) {
+    ConfigVersion held = current().version();
+    checkOwnService(next);
+    if (next.version().contradicts(held)) {
       refusedContradicting.increment();
       return false;
     }
-    if (!next.version().isAfter(current.version())) {
+    if (!next.version().isAfter(held)) {
       refusedOlder.increment();
       return false;
     }
-    current = next;
-    listeners.forEach(listener -> listener.accept(next));
+    current.set(next);
+    listeners.forEach(listener -> notifyListener(listener, next));
     return true;
   }
 
+  private void checkOwnService(Snapshot next) {
+    String ownService = current().scope().ownService();
+    if (!next.scope().ownService().equals(ownService)) {
+      throw new IllegalArgumentException(
+          "snapshot of " + next.scope().ownService() + " offered to a node of " + ownService);
+    }
+  }
+
+  private void notifyListener(Consumer<Snapshot> listener, Snapshot next) {
+    try {
+      listener.accept(next);
+    } catch (RuntimeException e) {
+      failedListeners.increment();
+      LOG.error("A listener failed on version {}", next.version().sequence(), e);
+    }
+  }
+
+  /** Returns how many calls of listeners ended with an exception. */
+  public long failedListenerCount() {
+    return failedListeners.sum();
+  }
+
   /** Returns how many offers were refused because they were not newer. */
   public long refusedOlderCount() {
     return refusedOlder.sum();
--- a/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigCodec.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigCodec.java
@@ -80,7 +80,12 @@
 
   private static <T> T decode(byte[] bytes, Class<T> type) {
     try {
-      return MAPPER.readValue(bytes, type);
+      T value = MAPPER.readValue(bytes, type);
+      if (value == null) {
+        throw new ConfigException(
+            ConfigErrorCode.NOT_DECODABLE, type.getSimpleName() + " is null", null);
+      }
+      return value;
     } catch (IOException e) {
       throw new ConfigException(ConfigErrorCode.NOT_DECODABLE, type.getSimpleName(), e);
     }
--- a/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigErrorCode.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigErrorCode.java
@@ -13,5 +13,7 @@
   /** The text breaks at least one rule. */
   TEXT_INVALID,
   /** A snapshot lacks a service or version that one of its routes names. */
-  SNAPSHOT_DANGLING
+  SNAPSHOT_DANGLING,
+  /** A scope differs from the dependencies of its own service, or a slice is given twice. */
+  SCOPE_MISMATCH
 }
--- a/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigVersion.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigVersion.java
@@ -1,5 +1,7 @@
 package org.acaciapond.config.version;
 
+import java.util.Objects;
+
 /**
  * Position of an accepted edit in the total order of the configuration.
  *
@@ -10,6 +12,14 @@
 public record ConfigVersion(long epoch, long sequence, String digest)
     implements Comparable<ConfigVersion> {
 
+  /** Creates a version; throws {@link IllegalArgumentException} on a negative position. */
+  public ConfigVersion {
+    Objects.requireNonNull(digest, "digest");
+    if (epoch < 0 || sequence < 0) {
+      throw new IllegalArgumentException("negative position: " + epoch + ", " + sequence);
+    }
+  }
+
   /** Version before the first edit. */
   public static final ConfigVersion NONE = new ConfigVersion(0, 0, "");
 
