--- a/acaciapond-config/src/main/java/org/acaciapond/config/text/ConfigTextParser.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/text/ConfigTextParser.java
@@ -6,7 +6,12 @@
 import org.acaciapond.config.version.ConfigErrorCode;
 import org.acaciapond.config.version.ConfigException;
 
-/** Parser of the configuration text. */
+/**
+ * Fast parser of text that has been accepted.
+ *
+ * <p>It stops at the first error and checks no references; {@link ConfigTextValidator} reports all
+ * problems of a text that has not been accepted.
+ */
 public final class ConfigTextParser {
 
   private ConfigTextParser() {}
@@ -14,7 +19,11 @@
   /** Parses a text; throws {@link ConfigException} with code {@code TEXT_INVALID}. */
   public static MeshConfig parse(String text) {
     try {
-      return ConfigCodec.mapper().readValue(text, MeshConfig.class);
+      MeshConfig config = ConfigCodec.mapper().readValue(text, MeshConfig.class);
+      if (config == null) {
+        throw new ConfigException(ConfigErrorCode.TEXT_INVALID, "the text is null", null);
+      }
+      return config;
     } catch (JsonProcessingException e) {
       throw new ConfigException(ConfigErrorCode.TEXT_INVALID, e.getOriginalMessage(), e);
     }
