Add the operators' commands, one class each

Cause: the binary had validate and apply only, both in one class, and an edit made between reading and writing was overwritten without notice.

HeadPublisher publishes against the head that was read at the start; a lost answer is settled along the chain of edits by editId, and a conflict names the other edit, operator and sequence. rollout makes the target of a completed move the current version first, since the next move would otherwise start from the version before it. take-back refuses names that the text in force lacks and the current version.

Tested with 26 tests, with a fake platform that loses requests and answers and once over HTTP against the stand-in; outputs are held by ApprovalTests.

--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/Cli.java
@@ -0,0 +1,67 @@
+package org.acaciapond.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import org.acaciapond.cli.command.CommandContext;
+import org.acaciapond.cli.command.NodeStatusReader;
+import org.acaciapond.cli.command.Pause;
+import org.acaciapond.cli.output.CliErrorCode;
+import org.acaciapond.cli.output.CliException;
+import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.cli.output.Output;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.platform.client.PlatformException;
+
+/** Command line: parses the arguments, runs one command and turns its errors into exit codes. */
+final class Cli {
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final PlatformAccess platforms;
+  private final NodeStatusReader nodes;
+  private final TimeSource time;
+  private final Pause pause;
+
+  Cli(
+      PrintStream out,
+      PrintStream err,
+      PlatformAccess platforms,
+      NodeStatusReader nodes,
+      TimeSource time,
+      Pause pause) {
+    this.out = out;
+    this.err = err;
+    this.platforms = platforms;
+    this.nodes = nodes;
+    this.time = time;
+    this.pause = pause;
+  }
+
+  /** Runs one command. */
+  ExitCode run(String... args) {
+    if (Arrays.asList(args).contains("--help")) {
+      out.println(ParsedArguments.usage());
+      return ExitCode.DONE;
+    }
+    // Errors in the arguments follow --json as well, so it is looked up before they are parsed.
+    Output output = new Output(out, err, Arrays.asList(args).contains("--json"));
+    try {
+      ParsedArguments arguments = ParsedArguments.parse(args);
+      CommandContext context =
+          new CommandContext(
+              platforms.at(arguments.platform()), nodes, time, pause, output, arguments.options());
+      return arguments.spec().command().run(context);
+    } catch (CliException e) {
+      output.error(e);
+      return e.errorCode().exitCode();
+    } catch (PlatformException e) {
+      CliException translated =
+          new CliException(
+              CliErrorCode.UNAVAILABLE,
+              "the platform is unavailable (" + e.getMessage() + "); nothing was changed",
+              e);
+      output.error(translated);
+      return translated.errorCode().exitCode();
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/CommandOptions.java
@@ -0,0 +1,32 @@
+package org.acaciapond.cli.command;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Arguments and options of one command, as the operator gave them.
+ *
+ * @param arguments arguments after the name of the command
+ * @param operator name of the operator
+ * @param nodes addresses of admin listeners
+ * @param expect sequence that an edit is based on
+ * @param by time within which a rollout should finish
+ * @param reason why a version is taken back
+ * @param limit most edits that the history shows
+ */
+public record CommandOptions(
+    List<String> arguments,
+    String operator,
+    List<String> nodes,
+    Optional<Long> expect,
+    Optional<Duration> by,
+    String reason,
+    int limit) {
+
+  /** Creates options. */
+  public CommandOptions {
+    arguments = List.copyOf(arguments);
+    nodes = List.copyOf(nodes);
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RolloutCommand.java
@@ -0,0 +1,106 @@
+package org.acaciapond.cli.command;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.Optional;
+import org.acaciapond.cli.edit.EditChain;
+import org.acaciapond.cli.edit.HeadState;
+import org.acaciapond.cli.edit.RolloutEdit;
+import org.acaciapond.cli.output.CliErrorCode;
+import org.acaciapond.cli.output.CliException;
+import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.cli.output.Output;
+import org.acaciapond.config.text.ConfigTextValidator;
+import org.acaciapond.config.text.ValidationResult;
+import org.acaciapond.platform.client.Row;
+
+/** Command {@code rollout SERVICE VERSION --by DURATION}: requests a move in the text in force. */
+public final class RolloutCommand implements Command {
+
+  @Override
+  public ExitCode run(CommandContext context) {
+    final Instant by = deadline(context);
+    HeadState base = HeadState.read(context.platform());
+    if (base.head().isEmpty()) {
+      throw invalid("there is no configuration yet; apply one first");
+    }
+    String text = new EditChain(context.platform(), base.parent()).next().edit().text();
+    RolloutEdit edit = RolloutEdit.of(text, context.argument(0));
+    refuseTakenBack(context);
+    EditNote note = request(context, edit, by);
+    ValidationResult result =
+        ConfigTextValidator.validate(
+            edit.text().getBytes(StandardCharsets.UTF_8),
+            "version-" + (base.parent().sequence() + 1));
+    if (!result.valid()) {
+      context.output().problems(result.problems());
+      return ExitCode.INVALID_INPUT;
+    }
+    return EditPublication.publish(context, base, result.text(), note);
+  }
+
+  /** Edits the text and returns what was changed. */
+  private static EditNote request(CommandContext context, RolloutEdit edit, Instant by) {
+    String service = context.argument(0);
+    String version = context.argument(1);
+    String completed = completeFinishedMove(context, edit, service);
+    String replaced =
+        edit.presentTarget().map(target -> "; replaces the move to " + target).orElse("");
+    edit.moveTo(version, by);
+    return new EditNote(
+        ": " + service + " moves to " + version + " by " + by + completed + replaced,
+        Output.object()
+            .put("service", service)
+            .put("from", edit.currentVersion())
+            .put("to", version)
+            .put("by", by.toString()));
+  }
+
+  private static Instant deadline(CommandContext context) {
+    return context
+        .options()
+        .by()
+        .map(duration -> context.time().now().plus(duration).truncatedTo(ChronoUnit.SECONDS))
+        .orElseThrow(() -> invalid("rollout needs --by DURATION, for example --by 10m"));
+  }
+
+  /** A taken-back fact overrides the text, so that the rollout could never start. */
+  private static void refuseTakenBack(CommandContext context) {
+    String key = TakeBackCommand.key(context.argument(0), context.argument(1));
+    Optional<Row> row = context.platform().readRow(key).await().indefinitely();
+    if (row.isPresent()) {
+      throw new CliException(
+          CliErrorCode.CONFLICT,
+          RowState.of(row.get()).line() + "; a version that was taken back cannot be rolled out",
+          null);
+    }
+  }
+
+  /** Keeps a completed move: the next one has to start from the version it moved to. */
+  private static String completeFinishedMove(
+      CommandContext context, RolloutEdit edit, String service) {
+    Optional<String> target = edit.presentTarget();
+    if (target.isEmpty() || !isDone(context, service, target.get())) {
+      return "";
+    }
+    edit.completeMove();
+    return "; the completed move makes " + target.get() + " the current version";
+  }
+
+  private static boolean isDone(CommandContext context, String service, String target) {
+    return context
+        .platform()
+        .readRow(RowState.ROLLOUT_PREFIX + service)
+        .await()
+        .indefinitely()
+        .map(row -> RowState.of(row).fields())
+        .filter(fields -> fields.path("state").asText().equals("DONE"))
+        .filter(fields -> fields.path("to").asText().equals(target))
+        .isPresent();
+  }
+
+  private static CliException invalid(String message) {
+    return new CliException(CliErrorCode.INVALID_INPUT, message, null);
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TakeBackCommand.java
@@ -0,0 +1,109 @@
+package org.acaciapond.cli.command;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import org.acaciapond.cli.edit.EditChain;
+import org.acaciapond.cli.edit.HeadState;
+import org.acaciapond.cli.edit.RolloutEdit;
+import org.acaciapond.cli.output.CliErrorCode;
+import org.acaciapond.cli.output.CliException;
+import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.cli.output.Output;
+import org.acaciapond.platform.client.PlatformException;
+import org.acaciapond.platform.client.Row;
+import org.acaciapond.platform.client.WriteResult;
+
+/** Command {@code take-back SERVICE VERSION}: records that a version must get no traffic. */
+public final class TakeBackCommand implements Command {
+
+  /** The write only turns an absent row into a present one, so that a repeat cannot do harm. */
+  private static final int MAX_ATTEMPTS = 3;
+
+  /** Returns the key of a taken-back fact. */
+  static String key(String service, String version) {
+    return RowState.TAKEN_BACK_PREFIX + service + "/" + version;
+  }
+
+  @Override
+  public ExitCode run(CommandContext context) {
+    String service = context.argument(0);
+    String version = context.argument(1);
+    checkVersion(context, service, version);
+    String key = key(service, version);
+    byte[] value = value(context).toString().getBytes(StandardCharsets.UTF_8);
+    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      WriteResult write = context.platform().writeRow(key, 0, value).await().indefinitely();
+      if (write.outcome() == WriteResult.Outcome.APPLIED) {
+        return report(context, service, version, "TAKEN_BACK", " is taken back");
+      }
+      Optional<Row> present = readBack(context, key);
+      if (present.isPresent()) {
+        // An equal value means that this write took effect and only its answer was lost.
+        return Arrays.equals(present.get().value(), value)
+            ? report(context, service, version, "TAKEN_BACK", " is taken back")
+            : report(
+                context,
+                service,
+                version,
+                "ALREADY_TAKEN_BACK",
+                " was taken back already (" + RowState.of(present.get()).line() + ")");
+      }
+    }
+    throw new CliException(
+        CliErrorCode.UNKNOWN,
+        "outcome unknown: "
+            + service
+            + " version "
+            + version
+            + " may or may not be taken back;"
+            + " run the command again, which is safe",
+        null);
+  }
+
+  /** Guards against a mistyped name, which would take nothing back. */
+  private static void checkVersion(CommandContext context, String service, String version) {
+    HeadState head = HeadState.read(context.platform());
+    if (head.head().isEmpty()) {
+      throw invalid("there is no configuration yet");
+    }
+    String text = new EditChain(context.platform(), head.parent()).next().edit().text();
+    RolloutEdit edit = RolloutEdit.of(text, service);
+    if (!edit.lists(version)) {
+      throw invalid("service \"" + service + "\" has no version \"" + version + "\"");
+    }
+    if (edit.currentVersion().equals(version)) {
+      throw invalid(
+          "\"%s\" is the current version of service \"%s\", which would be left without targets;"
+                  .formatted(version, service)
+              + " make another version the current one first");
+    }
+  }
+
+  private static ObjectNode value(CommandContext context) {
+    return Output.object()
+        .put("operator", context.options().operator())
+        .put("time", context.time().now().toString())
+        .put("reason", context.options().reason());
+  }
+
+  private static Optional<Row> readBack(CommandContext context, String key) {
+    try {
+      return context.platform().readRow(key).await().indefinitely();
+    } catch (PlatformException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static ExitCode report(
+      CommandContext context, String service, String version, String outcome, String line) {
+    ObjectNode fields = Output.object().put("service", service).put("version", version);
+    context.output().done(outcome, fields, service + " version " + version + line);
+    return ExitCode.DONE;
+  }
+
+  private static CliException invalid(String message) {
+    return new CliException(CliErrorCode.INVALID_INPUT, message, null);
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/package-info.java
@@ -0,0 +1,5 @@
+/** Commands of the operators, one class each. */
+@NullMarked
+package org.acaciapond.cli.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/edit/HeadState.java
@@ -0,0 +1,35 @@
+package org.acaciapond.cli.edit;
+
+import java.util.Optional;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.PlatformClient;
+import org.acaciapond.platform.client.Row;
+
+/**
+ * Head of the configuration as it was read at one time.
+ *
+ * @param revision revision of its row; 0 when there is no configuration yet
+ * @param head its content; empty when there is no configuration yet
+ */
+public record HeadState(long revision, Optional<ConfigHead> head) {
+
+  private static final ConfigHead BEFORE_FIRST = new ConfigHead(1, 0, "", "", "");
+
+  /** Reads the head. */
+  public static HeadState read(PlatformClient platform) {
+    Optional<Row> row = platform.readRow(ConfigHead.KEY).await().indefinitely();
+    return new HeadState(
+        row.map(Row::revision).orElse(0L), row.map(r -> ConfigHead.decode(r.value())));
+  }
+
+  /** Returns the head, or the position before the first edit. */
+  public ConfigHead parent() {
+    return head.orElse(BEFORE_FIRST);
+  }
+
+  /** Returns the version that the head names. */
+  public ConfigVersion version() {
+    return parent().version();
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/output/Output.java
@@ -0,0 +1,91 @@
+package org.acaciapond.cli.output;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.util.List;
+import org.acaciapond.config.text.Problem;
+
+/**
+ * Output of one command.
+ *
+ * <p>In JSON mode each result or error is one JSON object on one line of the standard output.
+ * Messages for people about errors go to the error output in both modes.
+ */
+public final class Output {
+
+  private static final String OUTCOME = "outcome";
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final boolean json;
+
+  /** Creates an output. */
+  public Output(PrintStream out, PrintStream err, boolean json) {
+    this.out = out;
+    this.err = err;
+    this.json = json;
+  }
+
+  /** Returns an empty JSON object. */
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  /** Prints a result, as JSON or as lines for people. */
+  public void print(JsonNode node, List<String> lines) {
+    if (json) {
+      out.println(node);
+    } else {
+      lines.forEach(out::println);
+    }
+    out.flush();
+  }
+
+  /** Prints the result of a command that changed something or was done already. */
+  public void done(String outcome, ObjectNode fields, String line) {
+    ObjectNode node = object().put(OUTCOME, outcome);
+    node.setAll(fields);
+    print(node, List.of(line));
+  }
+
+  /** Prints an error. */
+  public void error(CliException error) {
+    err.println("acaciapond: " + error.text());
+    if (json) {
+      ObjectNode node = object().put(OUTCOME, error.errorCode().name());
+      node.put("message", error.text());
+      node.setAll(error.details());
+      out.println(node);
+    }
+    flush();
+  }
+
+  /** Prints the problems of a text. */
+  public void problems(List<Problem> problems) {
+    problems.forEach(err::println);
+    if (json) {
+      ObjectNode node = object().put(OUTCOME, CliErrorCode.INVALID_INPUT.name());
+      ArrayNode list = node.putArray("problems");
+      problems.forEach(problem -> list.add(toJson(problem)));
+      out.println(node);
+    }
+    flush();
+  }
+
+  private void flush() {
+    err.flush();
+    out.flush();
+  }
+
+  private static ObjectNode toJson(Problem problem) {
+    return object()
+        .put("file", problem.file())
+        .put("line", problem.line())
+        .put("column", problem.column())
+        .put("rule", problem.rule().id())
+        .put("message", problem.message());
+  }
+}
--- /dev/null
+++ b/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
@@ -0,0 +1,286 @@
+package org.acaciapond.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.acaciapond.cli.command.NodeStatusReader;
+import org.acaciapond.cli.output.CliErrorCode;
+import org.acaciapond.cli.output.CliException;
+import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.platform.PlatformServer;
+import org.acaciapond.platform.client.HttpPlatformClient;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CliTest {
+
+  private static final String TEXT =
+      """
+      {"services":[{"name":"proofing","versions":[{"name":"v1"},{"name":"v2"}],
+        "current_version":"v1"}]}
+      """;
+
+  @TempDir private Path directory;
+  private final FakePlatform platform = new FakePlatform();
+  private final ManualTimeSource time = new ManualTimeSource(Instant.parse("2026-12-04T07:00:00Z"));
+  private final Deque<Runnable> rounds = new ArrayDeque<>();
+  private final StringBuilder transcript = new StringBuilder();
+  private String file = "";
+
+  @BeforeEach
+  void writeText() throws IOException {
+    file = Files.writeString(directory.resolve("mesh.json"), TEXT).toString();
+  }
+
+  private static ConfigVersion nodeStatus(String address) {
+    if (address.endsWith(":1")) {
+      throw new CliException(CliErrorCode.UNAVAILABLE, "no answer", null);
+    }
+    return new ConfigVersion(1, 1, "d");
+  }
+
+  private boolean nextRound() {
+    Runnable round = rounds.poll();
+    if (round != null) {
+      round.run();
+    }
+    return round != null;
+  }
+
+  /** Runs a command and appends what it printed to the transcript. */
+  private ExitCode run(String... args) {
+    return run(address -> platform, CliTest::nodeStatus, args);
+  }
+
+  private ExitCode run(PlatformAccess platforms, NodeStatusReader nodes, String... args) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    ByteArrayOutputStream err = new ByteArrayOutputStream();
+    ExitCode code =
+        new Cli(
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8),
+                platforms,
+                nodes,
+                time,
+                this::nextRound)
+            .run(args);
+    transcript.append("$ acaciapond ").append(String.join(" ", args)).append('\n');
+    out.toString(StandardCharsets.UTF_8).lines().forEach(l -> append("out", l));
+    err.toString(StandardCharsets.UTF_8).lines().forEach(l -> append("err", l));
+    transcript.append("exit ").append(code.code()).append("\n\n");
+    return code;
+  }
+
+  private void append(String stream, String line) {
+    transcript.append(stream).append("| ").append(line).append('\n');
+  }
+
+  /** Returns the transcript with random identities and paths replaced. */
+  private String scrubbed() {
+    return transcript
+        .toString()
+        .replace(directory.toString(), "DIR")
+        .replaceAll("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}", "EDIT")
+        .replaceAll("\\b[0-9a-f]{64}\\b", "DIGEST")
+        .replaceAll("digest [0-9a-f]{12}\\b", "digest SHORT");
+  }
+
+  private void session(String... common) throws IOException {
+    final String bad =
+        Files.writeString(directory.resolve("bad.json"), "{\"service\":[]}").toString();
+    command(common, "status");
+    command(common, "history");
+    command(common, "rollout", "proofing", "v2", "--by", "10m");
+    command(common, "validate", file);
+    command(common, "validate", bad);
+    command(common, "apply", bad);
+    command(common, "validate", directory.resolve("none.json").toString());
+    command(common, "apply", file, "--expect", "0");
+    command(common, "apply", file, "--expect", "0");
+    command(common, "rollout", "proofing", "v3", "--by", "1h30m");
+    command(common, "rollout", "proofing", "v1", "--by", "10m");
+    command(common, "take-back", "proofing", "v3", "--reason", "errors on /drafts");
+    command(common, "take-back", "proofing", "v3");
+    command(common, "take-back", "proofing", "v1");
+    command(common, "take-back", "proofing", "v33");
+    command(common, "rollout", "proofing", "v3", "--by", "10m");
+    platform.put(
+        "rollout/proofing",
+        """
+        {"service":"proofing","from":"v1","to":"v3","state":"TAKEN_BACK","share":0,
+         "reason":"error share 0.2 against 0.01","by":"2026-12-04T08:30:00Z",
+         "updatedAt":"2026-12-04T07:05:00Z"}""");
+    command(common, "status", "--node", "127.0.0.1:7301", "--node", "127.0.0.1:1");
+    command(common, "history", "--limit", "1");
+    rounds.add(() -> platform.down = true);
+    rounds.add(() -> {});
+    rounds.add(
+        () -> {
+          platform.down = false;
+          platform.put("rollout/proofing", "no JSON");
+        });
+    rounds.add(() -> run("apply", file, "--operator", "bikash"));
+    command(common, "watch");
+    platform.down = true;
+    command(common, "status");
+    command(common, "apply", file);
+  }
+
+  private void command(String[] common, String... args) {
+    String[] all = java.util.Arrays.copyOf(args, args.length + common.length);
+    System.arraycopy(common, 0, all, args.length, common.length);
+    run(all);
+  }
+
+  /** Guards against an unintended change of what operators read. */
+  @Test
+  void outputForPeopleIsStable() throws IOException {
+    session("--operator", "asha");
+    Approvals.verify(scrubbed());
+  }
+
+  /** Guards against an unintended change of what scripts read. */
+  @Test
+  void outputForScriptsIsStable() throws IOException {
+    session("--operator", "asha", "--json");
+    Approvals.verify(scrubbed());
+  }
+
+  /** Guards against a racing edit that is overwritten, or reported without its author. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void racingEditIsNamed(int laterEdits) {
+    run("apply", file);
+    platform.beforeWrite =
+        () -> {
+          run("apply", file, "--operator", "bikash");
+          for (int i = 0; i < laterEdits; i++) {
+            run("apply", file, "--operator", "chandra");
+          }
+        };
+    assertEquals(ExitCode.CONFLICT, run("rollout", "proofing", "v2", "--by", "10m"));
+    assertTrue(transcript.toString().contains("conflict: version 2 by operator bikash"));
+    assertFalse(platform.value("config/head").contains("\"sequence\":" + (3 + laterEdits)));
+  }
+
+  /** Guards against an accepted edit that is reported as lost, also when others followed it. */
+  @Test
+  void lostAnswerIsSettledByReadingBack() {
+    platform.lostAnswers = 1;
+    assertEquals(ExitCode.DONE, run("apply", file));
+    platform.lostRequests = 1;
+    assertEquals(ExitCode.DONE, run("apply", file));
+    assertTrue(platform.value("config/head").contains("\"sequence\":2"));
+    platform.lostAnswers = 1;
+    assertEquals(ExitCode.DONE, run("take-back", "proofing", "v2"));
+    assertTrue(transcript.toString().contains("proofing version v2 is taken back"));
+  }
+
+  /** Guards against an unknown outcome that is reported as success or as no change. */
+  @Test
+  void outcomeThatCannotBeReadBackIsUnknown() {
+    platform.downAfterWrite = true;
+    platform.lostAnswers = 1;
+    assertEquals(ExitCode.UNAVAILABLE, run("apply", file));
+    assertTrue(transcript.toString().contains("outcome unknown"));
+    assertFalse(transcript.toString().contains("nothing was changed"));
+  }
+
+  /** Guards against a rollout that sends traffic back to the version before a completed move. */
+  @Test
+  void rolloutAfterCompletedMoveStartsFromItsTarget() {
+    run("apply", file);
+    run("rollout", "proofing", "v2", "--by", "10m");
+    platform.put("rollout/proofing", "{\"state\":\"DONE\",\"to\":\"v2\"}");
+    assertEquals(ExitCode.DONE, run("rollout", "proofing", "v3", "--by", "10m"));
+    String edits = platform.objects.values().stream().map(String::new).toList().toString();
+    assertTrue(edits.contains("\\\"current_version\\\" : \\\"v2\\\""), edits);
+    assertTrue(transcript.toString().contains("makes v2 the current version"));
+  }
+
+  /** Guards against a history that ends early without saying so. */
+  @Test
+  void brokenHistoryIsAnError() {
+    run("apply", file);
+    run("apply", file);
+    String head = platform.value("config/head");
+    platform.objects.keySet().removeIf(digest -> !head.contains(digest));
+    assertEquals(ExitCode.UNAVAILABLE, run("history"));
+    assertTrue(transcript.toString().contains("the history breaks at version 1"));
+  }
+
+  /** Guards against wrong arguments that are ignored or end with another exit code. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "deploy",
+        "status extra",
+        "apply",
+        "status --colour",
+        "status --platform nowhere",
+        "status --platform 127.0.0.1:70000",
+        "status --node 127.0.0.1",
+        "status --by 10m",
+        "status --operator",
+        "apply mesh.json --expect seven",
+        "history --limit 0",
+        "rollout proofing v2",
+        "rollout proofing v2 --by 10",
+        "rollout proofing v2 --by 1s",
+        "rollout proofing v2 --by 31d",
+        "rollout proofing v2 --by -10m"
+      })
+  void wrongArgumentsAreRefused(String line) {
+    String[] args = line.isEmpty() ? new String[0] : line.split(" ");
+    assertEquals(ExitCode.INVALID_INPUT, run(args));
+    assertTrue(transcript.toString().contains("err| acaciapond: "));
+  }
+
+  /** Guards against commands that work against the fake only. */
+  @Test
+  void commandsWorkOverHttp() {
+    Vertx vertx = Vertx.vertx();
+    try {
+      PlatformServer server = new PlatformServer(vertx, "127.0.0.1", 0);
+      server.start().await().indefinitely();
+      PlatformAccess access = a -> new HttpPlatformClient(vertx, a.ip(), a.port(), 2_000);
+      NodeStatusReader nodes = new HttpNodeStatusReader(vertx, 2_000);
+      String address = "127.0.0.1:" + server.port();
+      for (List<String> command :
+          List.of(
+              List.of("apply", file),
+              List.of("rollout", "proofing", "v2", "--by", "10m"),
+              List.of("take-back", "proofing", "v2"),
+              List.of("history"),
+              List.of("status", "--node", address))) {
+        List<String> args = new java.util.ArrayList<>(command);
+        args.addAll(List.of("--platform", address));
+        assertEquals(ExitCode.DONE, run(access, nodes, args.toArray(String[]::new)));
+      }
+      assertTrue(transcript.toString().contains("taken back: proofing version v2"));
+      assertTrue(transcript.toString().contains("unreachable, status 404"));
+      server.stop().await().indefinitely();
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+  }
+}
