--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/WatchCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/WatchCommand.java
@@ -63,9 +63,9 @@
       }
     }
 
-    /** A late answer with an older head is not a change. */
+    /** Shows an older head as well: it means that the table was rebuilt. */
     private void showHead(ConfigHead next) {
-      if (next.version().isAfter(head)) {
+      if (!next.version().equals(head)) {
         head = next.version();
         print("head", MeshState.headJson(next), MeshState.headLine(next));
       }
@@ -73,7 +73,7 @@
 
     private void showRow(RowState row) {
       long shown = revisions.getOrDefault(row.key(), 0L);
-      if (row.revision() > shown) {
+      if (row.revision() != shown) {
         revisions.put(row.key(), row.revision());
         print(row.isRollout() ? "rollout" : "taken-back", row.fields(), row.line());
       }
--- a/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
+++ b/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
@@ -222,6 +222,17 @@
     assertTrue(transcript.toString().contains("makes v2 the current version"));
   }
 
+  /** Guards against a watch that hides a table that was rebuilt with an older head. */
+  @Test
+  void watchShowsRebuiltTable() {
+    run("apply", file, "--operator", "asha");
+    run("apply", file, "--operator", "asha");
+    rounds.add(platform.rows::clear);
+    rounds.add(() -> run("apply", file, "--operator", "bikash"));
+    run("watch");
+    assertTrue(transcript.toString().contains("out| head: version 1 of epoch 1, operator bikash"));
+  }
+
   /** Guards against a history that ends early without saying so. */
   @Test
   void brokenHistoryIsAnError() {
