--- /dev/null
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/admission/package-info.java
@@ -0,0 +1,5 @@
+/** Admission of calls at the node of a target. */
+@NullMarked
+package org.acaciapond.routing.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallAttempts.java
@@ -0,0 +1,90 @@
+package org.acaciapond.routing.call;
+
+import java.util.function.BooleanSupplier;
+import org.acaciapond.config.model.RouteConfig;
+
+/**
+ * State machine of the attempts of one call; confined to the thread of the call.
+ *
+ * <p>A call that may have run is never reported as not run, however its later attempts end, and a
+ * call that is not idempotent is not sent again once it may have run.
+ */
+public final class CallAttempts {
+
+  private final boolean idempotent;
+  private final int maxRetries;
+  private final BooleanSupplier budget;
+  private int retries;
+  private boolean mayHaveRun;
+
+  /**
+   * Creates the state of a call before its first attempt.
+   *
+   * @param route route of the call
+   * @param isRetry whether the call is itself a retry made by a node further up
+   * @param budget takes one retry from the budget, or returns false
+   */
+  public CallAttempts(RouteConfig route, boolean isRetry, BooleanSupplier budget) {
+    this.idempotent = route.idempotent();
+    // Retrying a retry would multiply the attempts with the depth of the chain.
+    this.maxRetries = isRetry ? 0 : route.maxRetries();
+    this.budget = budget;
+  }
+
+  /** Returns the number of retries decided so far. */
+  public int retries() {
+    return retries;
+  }
+
+  /**
+   * Decides after an attempt.
+   *
+   * @param result how the attempt ended
+   * @param canResend whether the body can be sent again and time is left
+   */
+  public CallDecision onResult(AttemptResult result, boolean canResend) {
+    switch (result) {
+      case ANSWERED:
+      case TARGET_ERROR:
+        return CallDecision.PASS_ON;
+      case CALLER_GONE:
+        return CallDecision.ABANDON;
+      default:
+        mayHaveRun |= result.mayHaveRun();
+        return mayRetry(result, canResend) ? retry() : refusal(result);
+    }
+  }
+
+  /** Decides when no target is left to choose. */
+  public CallDecision onNoTarget() {
+    return mayHaveRun ? CallDecision.UNKNOWN : CallDecision.NOT_RUN;
+  }
+
+  private boolean mayRetry(AttemptResult result, boolean canResend) {
+    boolean isKind =
+        result == AttemptResult.REFUSED_NOT_RUN
+            || result == AttemptResult.CONNECT_FAILED
+            || result == AttemptResult.CONNECTION_LOST;
+    return isKind
+        && canResend
+        && retries < maxRetries
+        && (idempotent || !mayHaveRun)
+        && budget.getAsBoolean();
+  }
+
+  private CallDecision retry() {
+    retries++;
+    return CallDecision.RETRY;
+  }
+
+  private CallDecision refusal(AttemptResult result) {
+    boolean late =
+        result == AttemptResult.DEADLINE_BEFORE_SEND
+            || result == AttemptResult.DEADLINE_AT_NODE
+            || result == AttemptResult.TIMEOUT;
+    if (late) {
+      return mayHaveRun ? CallDecision.DEADLINE_UNKNOWN : CallDecision.DEADLINE_NOT_RUN;
+    }
+    return onNoTarget();
+  }
+}
--- /dev/null
+++ b/acaciapond-routing/src/test/java/org/acaciapond/routing/admission/AdmissionControllerTest.java
@@ -0,0 +1,129 @@
+package org.acaciapond.routing.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.model.LimitsConfig;
+import org.junit.jupiter.api.Test;
+
+class AdmissionControllerTest {
+
+  private static final long FAR = Long.MAX_VALUE / 2;
+
+  private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+
+  private static LimitsConfig limits(int slots, int queue) {
+    return new LimitsConfig(slots, queue, 10, 1);
+  }
+
+  /** I6: a call that gave up waiting must not run, or its refusal as not run would be untrue. */
+  @Property(tries = 200)
+  void cancelledCallNeverRunsAndSlotsAreKept(
+      @ForAll @IntRange(min = 1, max = 5) int slots, @ForAll long seed) {
+    AdmissionController admission = new AdmissionController(time, limits(slots, 8));
+    Random random = new Random(seed);
+    AtomicInteger running = new AtomicInteger();
+    Deque<AdmissionController.Waiting> waiting = new ArrayDeque<>();
+    int cancelled = 0;
+    int started = 0;
+    for (int i = 0; i < 300; i++) {
+      int step = random.nextInt(3);
+      if (step == 0) {
+        if (admission.tryAdmit()) {
+          running.incrementAndGet();
+          started++;
+        } else if (admission.refusal(FAR) == null) {
+          waiting.add(admission.enqueue(running::incrementAndGet));
+          started++;
+        }
+      } else if (step == 1 && running.get() > 0) {
+        running.decrementAndGet();
+        admission.release(1, random.nextInt(4) == 0);
+      } else if (!waiting.isEmpty()) {
+        cancelled += waiting.poll().cancel() ? 1 : 0;
+      }
+      assertTrue(running.get() <= slots);
+      assertTrue(admission.queued() <= 8);
+      assertEquals(running.get(), admission.inFlight());
+    }
+    while (running.get() > 0) {
+      running.decrementAndGet();
+      admission.release(1, false);
+    }
+    assertEquals(0, admission.queued());
+    assertEquals(started - cancelled, admission.admittedCount());
+  }
+
+  /** A lost wake-up would leave calls waiting beside free slots. */
+  @Test
+  void concurrentCallsKeepTheLimitAndAllRun() {
+    AdmissionController admission = new AdmissionController(TimeSource.system(), limits(3, 1_000));
+    AtomicInteger running = new AtomicInteger();
+    AtomicInteger most = new AtomicInteger();
+    AtomicInteger done = new AtomicInteger();
+    Runnable call =
+        () -> {
+          most.accumulateAndGet(running.incrementAndGet(), Math::max);
+          running.decrementAndGet();
+          done.incrementAndGet();
+          admission.release(1, false);
+        };
+    IntStream.range(0, 900)
+        .parallel()
+        .forEach(
+            i -> {
+              if (admission.tryAdmit()) {
+                call.run();
+              } else {
+                admission.enqueue(call);
+              }
+            });
+    assertEquals(900, done.get());
+    assertEquals(0, admission.inFlight());
+    assertTrue(most.get() <= 3);
+  }
+
+  @Test
+  void fullQueueAndHopelessDeadlineAreRefusedEarly() {
+    AdmissionController admission = new AdmissionController(time, limits(1, 2));
+    assertTrue(admission.tryAdmit());
+    admission.release(Duration.ofMillis(100).toNanos(), false);
+    assertTrue(admission.tryAdmit());
+    assertFalse(admission.tryAdmit());
+    assertEquals(Refusal.DEADLINE, admission.refusal(Duration.ofMillis(150).toNanos()));
+    assertNull(admission.refusal(Duration.ofMillis(250).toNanos()));
+    admission.enqueue(() -> {});
+    admission.enqueue(() -> {});
+    assertEquals(Refusal.QUEUE_FULL, admission.refusal(FAR));
+  }
+
+  @Test
+  void limitFallsOnOverloadAndRecovers() {
+    AdmissionController admission = new AdmissionController(time, limits(10, 1));
+    for (int i = 0; i < 30; i++) {
+      assertTrue(admission.tryAdmit());
+      time.advance(Duration.ofMillis(100));
+      admission.release(1, true);
+    }
+    assertEquals(1, admission.limit());
+    for (int i = 0; i < 200; i++) {
+      assertTrue(admission.tryAdmit());
+      admission.release(1, false);
+    }
+    assertEquals(10, admission.limit());
+  }
+}
--- /dev/null
+++ b/acaciapond-routing/src/test/java/org/acaciapond/routing/target/OutlierDetectorTest.java
@@ -0,0 +1,95 @@
+package org.acaciapond.routing.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.routing.call.AttemptResult;
+import org.junit.jupiter.api.Test;
+
+class OutlierDetectorTest {
+
+  private static final long MS = 1_000_000;
+
+  private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+  private final OutlierDetector detector = new OutlierDetector(time);
+
+  private static List<String> hosts(int count) {
+    return IntStream.range(0, count).mapToObj(i -> "h" + i).toList();
+  }
+
+  /** A set without usable targets would fail every call. */
+  @Property(tries = 200)
+  void neverEjectsMoreThanHalf(@ForAll @IntRange(min = 1, max = 12) int size, @ForAll long seed) {
+    OutlierDetector set = new OutlierDetector(time);
+    Random random = new Random(seed);
+    AttemptResult[] results = AttemptResult.values();
+    int members = size;
+    set.setMembers(hosts(members));
+    for (int i = 0; i < 500; i++) {
+      if (random.nextInt(50) == 0) {
+        members = 1 + random.nextInt(size);
+        set.setMembers(hosts(members));
+      }
+      String host = "h" + random.nextInt(size);
+      set.tryUse(host);
+      set.onResult(host, results[random.nextInt(results.length)], random.nextInt(500) * MS);
+      time.advance(Duration.ofMillis(random.nextInt(100)));
+      assertTrue(set.ejected().size() <= members / 2);
+      assertEquals(set.ejected().size(), set.ejectedCount());
+    }
+  }
+
+  private void fail(String host, int times) {
+    for (int i = 0; i < times; i++) {
+      detector.onResult(host, AttemptResult.TARGET_ERROR, MS);
+    }
+  }
+
+  @Test
+  void ejectedTargetReturnsByOneGoodTrialOnly() {
+    detector.setMembers(hosts(3));
+    fail("h0", 5);
+    assertFalse(detector.tryUse("h0"));
+    time.advance(Duration.ofSeconds(3));
+    assertTrue(detector.tryUse("h0"));
+    assertFalse(detector.tryUse("h0"), "two trial calls at once");
+    fail("h0", 1);
+    time.advance(Duration.ofSeconds(3));
+    assertFalse(detector.tryUse("h0"), "a failed trial doubles the time");
+    time.advance(Duration.ofSeconds(2));
+    assertTrue(detector.tryUse("h0"));
+    detector.onResult("h0", AttemptResult.ANSWERED, MS);
+    assertFalse(detector.isEjected("h0"));
+  }
+
+  @Test
+  void slowTargetIsEjected() {
+    detector.setMembers(hosts(4));
+    for (int i = 0; i < 100; i++) {
+      for (String host : hosts(4)) {
+        detector.onResult(host, AttemptResult.ANSWERED, host.equals("h2") ? 400 * MS : 10 * MS);
+      }
+    }
+    assertEquals(java.util.Set.of("h2"), detector.ejected());
+  }
+
+  @Test
+  void refusalsDoNotEject() {
+    detector.setMembers(hosts(3));
+    for (int i = 0; i < 100; i++) {
+      detector.onResult("h0", AttemptResult.REFUSED_NOT_RUN, MS);
+      detector.onResult("h0", AttemptResult.CALLER_GONE, MS);
+    }
+    assertEquals(0, detector.ejectionCount());
+  }
+}
