--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -15,6 +15,8 @@
 import org.acaciapond.node.membership.LocalTarget;
 import org.acaciapond.node.proxy.InboundProxy;
 import org.acaciapond.node.proxy.OutboundProxy;
+import org.acaciapond.node.proxy.RequestPathCounters;
+import org.acaciapond.node.proxy.RequestPathOptions;
 import org.acaciapond.platform.client.HttpPlatformClient;
 import org.acaciapond.protocol.codec.AnnounceMessageCodec;
 import org.acaciapond.protocol.codec.CodecRegistry;
@@ -22,6 +24,7 @@
 import org.acaciapond.protocol.transport.PeerAddress;
 import org.acaciapond.protocol.transport.PeerConnection;
 import org.acaciapond.protocol.transport.PeerTransport;
+import org.acaciapond.routing.target.VersionSplit;
 
 /** Assembly of the services of one node. */
 public final class NodeProcess implements ManagedService {
@@ -32,6 +35,7 @@
   private final TimeSource time;
   private final SnapshotHolder holder;
   private final LocalTarget localTarget = new LocalTarget();
+  private final RequestPathCounters requestPathCounters = new RequestPathCounters();
   private final PeerTransport transport;
   private final AnnounceService announce;
   private final InboundProxy inbound;
@@ -60,9 +64,29 @@
             Arrays.stream(settings.get(NodeSettings.SEEDS)).map(PeerAddress::parse).toList(),
             this::selfRecord,
             settings.get(NodeSettings.ANNOUNCE_INTERVAL_MS));
+    RequestPathOptions requestPath = RequestPathOptions.of(settings);
     this.inbound =
-        new InboundProxy(vertx, holder, localTarget, ip, port(NodeSettings.INBOUND_PORT));
-    this.outbound = new OutboundProxy(vertx, holder, announce, port(NodeSettings.OUTBOUND_PORT));
+        new InboundProxy(
+            vertx,
+            time,
+            holder,
+            localTarget,
+            ip,
+            port(NodeSettings.INBOUND_PORT),
+            requestPath,
+            requestPathCounters);
+    this.outbound =
+        new OutboundProxy(
+            vertx,
+            time,
+            holder,
+            announce,
+            service -> VersionSplit.only(service.currentVersion()),
+            record -> {},
+            settings.get(NodeSettings.FAILURE_DOMAIN),
+            port(NodeSettings.OUTBOUND_PORT),
+            requestPath,
+            requestPathCounters);
     this.admin = new AdminServer(vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT));
     PeerAddress platformAddress = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
     HttpPlatformClient platform =
@@ -71,7 +95,8 @@
     HeadPoller poller =
         new HeadPoller(
             vertx, platform, holder, ownService, settings.get(NodeSettings.POLL_INTERVAL_MS));
-    this.services = List.of(transport, inbound, outbound, admin, announce, poller);
+    // Stopped in reverse order: the own target may call others until its last call has ended.
+    this.services = List.of(transport, outbound, inbound, admin, announce, poller);
   }
 
   private void acceptPeer(PeerConnection connection) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.acaciapond.common.settings.SettingDescriptor;
+import org.acaciapond.node.proxy.RequestPathSettings;
 
 /** Descriptors of the settings of a node. */
 public final class NodeSettings {
@@ -79,7 +80,9 @@
           SEEDS,
           PLATFORM,
           POLL_INTERVAL_MS,
-          ANNOUNCE_INTERVAL_MS);
+          ANNOUNCE_INTERVAL_MS,
+          RequestPathSettings.EVENT_LOOPS,
+          RequestPathSettings.DRAIN_DELAY_MS);
 
   private NodeSettings() {}
 
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundContext.java
@@ -0,0 +1,14 @@
+package org.acaciapond.node.proxy;
+
+import io.vertx.core.Vertx;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.routing.admission.AdmissionController;
+
+/** What all inbound calls of a node share. */
+record InboundContext(
+    Vertx vertx,
+    TimeSource time,
+    AdmissionController admission,
+    RequestPathOptions options,
+    RequestPathCounters counters,
+    DrainCoordinator drain) {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -1,94 +1,179 @@
 package org.acaciapond.node.proxy;
 
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.http.PoolOptions;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.model.LimitsConfig;
+import org.acaciapond.config.model.RouteConfig;
 import org.acaciapond.config.model.ServiceConfig;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
 import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.routing.admission.AdmissionController;
+import org.acaciapond.routing.route.RouteTables;
+import org.jspecify.annotations.Nullable;
 
 /** Proxy of the calls that other nodes and outside callers make to the own target. */
 public final class InboundProxy implements ManagedService {
 
   private static final int FORBIDDEN = 403;
-  private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int KEEP_ALIVE_S = 30;
+  private static final long TARGET_WATCH_MS = 200;
+
+  /** Bounds the connections of outside callers and other nodes. */
+  private static final int MAX_CONNECTIONS = 16_384;
 
   private final SnapshotHolder holder;
   private final LocalTarget localTarget;
-  private final HttpForwarder forwarder;
-  private final HttpServer server;
+  private final InboundContext context;
+  private final RouteTables routes = new RouteTables();
+  private final ProxyListener listener;
+  private volatile long watchTimerId = -1;
 
   /** Creates a proxy. */
   public InboundProxy(
-      Vertx vertx, SnapshotHolder holder, LocalTarget localTarget, String ip, int port) {
+      Vertx vertx,
+      TimeSource time,
+      SnapshotHolder holder,
+      LocalTarget localTarget,
+      String ip,
+      int port,
+      RequestPathOptions options,
+      RequestPathCounters counters) {
     this.holder = holder;
     this.localTarget = localTarget;
-    this.forwarder = new HttpForwarder(vertx.createHttpClient(new HttpClientOptions()));
-    this.server =
-        vertx
-            .createHttpServer(new HttpServerOptions().setHost(ip).setPort(port))
-            .requestHandler(this::onRequest);
+    this.context =
+        new InboundContext(
+            vertx,
+            time,
+            new AdmissionController(time, limits(holder.current())),
+            options,
+            counters,
+            new DrainCoordinator(time, TimeUnit.MILLISECONDS.toNanos(options.drainDelayMs())));
+    this.listener =
+        new ProxyListener(
+            vertx,
+            ip,
+            port,
+            options.eventLoops(),
+            counters,
+            () -> MAX_CONNECTIONS,
+            this::newHandler);
+    holder.addListener(snapshot -> context.admission().setLimits(limits(snapshot)));
+  }
+
+  private static LimitsConfig limits(Snapshot snapshot) {
+    ServiceConfig own = snapshot.service(snapshot.scope().ownService());
+    return own == null ? LimitsConfig.DEFAULT : own.limits();
   }
 
   @Override
   public Uni<Void> start() {
-    return Uni.createFrom()
-        .completionStage(() -> server.listen().toCompletionStage())
-        .replaceWithVoid();
+    watchTimerId = context.vertx().setPeriodic(TARGET_WATCH_MS, id -> watchTarget());
+    return listener.start();
   }
 
+  /** Accepts calls for the set delay, then refuses them, lets those in flight end and closes. */
   @Override
   public Uni<Void> stop() {
-    return Uni.createFrom().completionStage(() -> server.close().toCompletionStage());
+    context.vertx().cancelTimer(watchTimerId);
+    return Uni.createFrom().completionStage(this::drain).chain(listener::stop);
+  }
+
+  private CompletableFuture<Void> drain() {
+    context.drain().leaveForGood();
+    CompletableFuture<Void> delay = new CompletableFuture<>();
+    long delayMs = TimeUnit.NANOSECONDS.toMillis(context.drain().nanosUntilRefusal());
+    context.vertx().setTimer(Math.max(1, delayMs), id -> delay.complete(null));
+    return delay.thenCompose(ignored -> context.drain().close());
   }
 
   /** Returns the port that it listens on. */
   public int port() {
-    return server.actualPort();
+    return listener.port();
+  }
+
+  /** Returns the admission controller, for status and metrics. */
+  public AdmissionController admission() {
+    return context.admission();
+  }
+
+  /** Returns the calls in flight. */
+  public long inFlight() {
+    return context.drain().inFlight();
+  }
+
+  private Handler<HttpServerRequest> newHandler() {
+    int connections = Math.max(1, LimitsConfig.DEFAULT.connections() / 2);
+    HttpClient client =
+        context
+            .vertx()
+            .httpClientBuilder()
+            .with(
+                new HttpClientOptions()
+                    .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                    .setKeepAliveTimeout(KEEP_ALIVE_S)
+                    .setTcpNoDelay(true))
+            .with(new PoolOptions().setHttp1MaxSize(connections))
+            .build();
+    return request -> onRequest(request, client);
   }
 
-  private void onRequest(HttpServerRequest request) {
+  private void onRequest(HttpServerRequest request, HttpClient client) {
     Snapshot snapshot = holder.current();
     String caller = request.getHeader(MeshHeaders.CALLER);
-    if (!isPermitted(snapshot, caller)) {
-      HttpForwarder.refuse(
-          request, FORBIDDEN, MeshHeaders.OUTCOME_NOT_RUN, "caller not permitted: " + caller);
+    ServiceConfig own = snapshot.service(snapshot.scope().ownService());
+    if (!isPermitted(snapshot, own, caller)) {
+      context.counters().refusedCallers.increment();
+      refuse(request, FORBIDDEN, "caller not permitted: " + caller);
       return;
     }
     LocalTarget.Announcement target = localTarget.announcement();
-    if (target == null || target.leaving()) {
-      HttpForwarder.refuse(request, UNAVAILABLE, MeshHeaders.OUTCOME_NOT_RUN, "no target");
+    if (target == null || own == null) {
+      refuse(request, UNAVAILABLE, "no target");
+      return;
+    }
+    if (!context.drain().tryEnter()) {
+      context.counters().refusedLeaving.increment();
+      refuse(request, UNAVAILABLE, "the target is leaving");
       return;
     }
-    forwarder
-        .forward(
-            request,
-            new RequestOptions().setHost("127.0.0.1").setPort(target.port()),
-            outgoing -> {})
-        .compose(
-            response -> {
-              request.response().putHeader(MeshHeaders.VERSION, target.version());
-              return forwarder.answer(request, response);
-            })
-        .onFailure(
-            error ->
-                HttpForwarder.refuse(
-                    request, BAD_GATEWAY, MeshHeaders.OUTCOME_UNKNOWN, "no answer of the target"));
+    RouteConfig route = routes.match(own, request.uri());
+    long deadline = Deadlines.read(request, route.timeoutMs(), context.time());
+    long maxBodyBytes = own.limits().maxBodyBytes();
+    new InboundCall(context, client, request, own.name(), target, maxBodyBytes, deadline)
+        .start(maxBodyBytes);
+  }
+
+  /** Starts the delay when the target leaves, whether calls arrive or not. */
+  private void watchTarget() {
+    LocalTarget.Announcement target = localTarget.announcement();
+    if (target != null && target.leaving()) {
+      context.drain().leave();
+    } else {
+      context.drain().stay();
+    }
+  }
+
+  private static void refuse(HttpServerRequest request, int status, String reason) {
+    Refusals.refuse(request, status, MeshHeaders.OUTCOME_NOT_RUN, reason);
   }
 
   private static boolean isPermitted(
-      Snapshot snapshot, @org.jspecify.annotations.Nullable String caller) {
+      Snapshot snapshot, @Nullable ServiceConfig own, @Nullable String caller) {
     if (caller != null) {
       return snapshot.scope().permittedCallers().contains(caller);
     }
-    ServiceConfig own = snapshot.service(snapshot.scope().ownService());
     return own != null && own.exposed();
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -24,5 +24,17 @@
   /** Value of {@link #OUTCOME} when it is not known whether the call ran. */
   public static final String OUTCOME_UNKNOWN = "unknown";
 
+  /**
+   * Mark of a call that is itself a retry; no node further down retries it. A target passes it on
+   * with the calls that it makes for this one.
+   */
+  public static final String RETRY = "x-acaciapond-retry";
+
+  /**
+   * Fate that a target passed on from deeper in the chain. It never causes a retry, since the
+   * target of this hop ran.
+   */
+  public static final String DEEPER_OUTCOME = "x-acaciapond-deeper-outcome";
+
   private MeshHeaders() {}
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
@@ -1,94 +1,123 @@
 package org.acaciapond.node.proxy;
 
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.RequestOptions;
-import java.util.List;
+import io.vertx.core.net.HostAndPort;
 import java.util.concurrent.ThreadLocalRandom;
 import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.model.RouteConfig;
 import org.acaciapond.config.model.ServiceConfig;
 import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.routing.call.CallListener;
+import org.acaciapond.routing.retry.RetryBudget;
+import org.acaciapond.routing.route.RouteTables;
 import org.acaciapond.routing.target.TargetDirectory;
-import org.acaciapond.routing.target.TargetEndpoint;
+import org.acaciapond.routing.target.TargetSelector;
+import org.acaciapond.routing.target.VersionSplits;
 
 /** Proxy of the calls that the own target makes to other services. */
 public final class OutboundProxy implements ManagedService {
 
   private static final int FORBIDDEN = 403;
-  private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
 
-  private final SnapshotHolder holder;
-  private final TargetDirectory directory;
-  private final HttpForwarder forwarder;
-  private final HttpServer server;
+  /** Bounds the connections of the own target, which is on the same host. */
+  private static final int MAX_CONNECTIONS = 1_024;
+
+  private final OutboundContext context;
+  private final RouteTables routes = new RouteTables();
+  private final ProxyListener listener;
 
   /** Creates a proxy. */
-  public OutboundProxy(Vertx vertx, SnapshotHolder holder, TargetDirectory directory, int port) {
-    this.holder = holder;
-    this.directory = directory;
-    this.forwarder = new HttpForwarder(vertx.createHttpClient(new HttpClientOptions()));
-    this.server =
-        vertx
-            .createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(port))
-            .requestHandler(this::onRequest);
+  public OutboundProxy(
+      Vertx vertx,
+      TimeSource time,
+      SnapshotHolder holder,
+      TargetDirectory directory,
+      VersionSplits splits,
+      CallListener calls,
+      String failureDomain,
+      int port,
+      RequestPathOptions options,
+      RequestPathCounters counters) {
+    this.context =
+        new OutboundContext(
+            vertx,
+            time,
+            holder,
+            directory,
+            splits,
+            new TargetSelector(time, () -> ThreadLocalRandom.current().nextDouble(), failureDomain),
+            new RetryBudget(),
+            calls,
+            options,
+            counters,
+            new DrainCoordinator(time, 0));
+    this.listener =
+        new ProxyListener(
+            vertx,
+            "127.0.0.1",
+            port,
+            options.eventLoops(),
+            counters,
+            () -> MAX_CONNECTIONS,
+            this::newHandler);
   }
 
   @Override
   public Uni<Void> start() {
-    return Uni.createFrom()
-        .completionStage(() -> server.listen().toCompletionStage())
-        .replaceWithVoid();
+    return listener.start();
   }
 
+  /** Refuses new calls, lets those in flight end and then closes. */
   @Override
   public Uni<Void> stop() {
-    return Uni.createFrom().completionStage(() -> server.close().toCompletionStage());
+    return Uni.createFrom().completionStage(() -> context.drain().close()).chain(listener::stop);
   }
 
   /** Returns the port that it listens on. */
   public int port() {
-    return server.actualPort();
+    return listener.port();
+  }
+
+  /** Returns the selector, for status and metrics. */
+  public TargetSelector selector() {
+    return context.selector();
   }
 
-  private void onRequest(HttpServerRequest request) {
+  private Handler<HttpServerRequest> newHandler() {
+    NodeClient client = new NodeClient(context.vertx(), context.counters());
+    return request -> onRequest(request, client);
+  }
+
+  private void onRequest(HttpServerRequest request, NodeClient client) {
     String name = serviceName(request);
-    ServiceConfig service = holder.current().service(name);
+    ServiceConfig service = context.holder().current().service(name);
     if (service == null) {
-      HttpForwarder.refuse(
-          request, FORBIDDEN, MeshHeaders.OUTCOME_NOT_RUN, "service not reachable: " + name);
+      context.counters().refusedCallers.increment();
+      refuse(request, FORBIDDEN, "service not reachable: " + name);
       return;
     }
-    List<TargetEndpoint> targets =
-        directory.targets(name).stream()
-            .filter(t -> t.version().equals(service.currentVersion()) && !t.leaving())
-            .toList();
-    if (targets.isEmpty()) {
-      HttpForwarder.refuse(
-          request, UNAVAILABLE, MeshHeaders.OUTCOME_NOT_RUN, "no target of " + name);
+    if (!context.drain().tryEnter()) {
+      context.counters().refusedLeaving.increment();
+      refuse(request, UNAVAILABLE, "this node is leaving");
       return;
     }
-    TargetEndpoint target = targets.get(ThreadLocalRandom.current().nextInt(targets.size()));
-    forwarder
-        .forward(
-            request,
-            new RequestOptions().setHost(target.address()).setPort(target.inboundPort()),
-            outgoing ->
-                outgoing.putHeader(MeshHeaders.CALLER, holder.current().scope().ownService()))
-        .compose(response -> forwarder.answer(request, response))
-        .onFailure(
-            error ->
-                HttpForwarder.refuse(
-                    request, BAD_GATEWAY, MeshHeaders.OUTCOME_UNKNOWN, "no answer from " + name));
+    RouteConfig route = routes.match(service, request.uri());
+    long deadline = Deadlines.read(request, route.timeoutMs(), context.time());
+    new OutboundCall(context, client, request, service, route, deadline)
+        .start(service.limits().maxBodyBytes());
+  }
+
+  private static void refuse(HttpServerRequest request, int status, String reason) {
+    Refusals.refuse(request, status, MeshHeaders.OUTCOME_NOT_RUN, reason);
   }
 
   private static String serviceName(HttpServerRequest request) {
-    String host = String.valueOf(request.getHeader("Host"));
-    int colon = host.indexOf(':');
-    return colon < 0 ? host : host.substring(0, colon);
+    HostAndPort authority = request.authority();
+    return authority == null ? "" : authority.host();
   }
 }
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/DrainCoordinatorTest.java
@@ -0,0 +1,65 @@
+package org.acaciapond.node.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class DrainCoordinatorTest {
+
+  private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+
+  private DrainCoordinator coordinator() {
+    return new DrainCoordinator(time, Duration.ofSeconds(3).toNanos());
+  }
+
+  /** I9: closing before the last call has ended would cut it. */
+  @Property(tries = 200)
+  void isIdleOnlyWhenNothingIsInFlight(@ForAll long seed) {
+    DrainCoordinator drain = coordinator();
+    Random random = new Random(seed);
+    long inFlight = 0;
+    for (int i = 0; i < 50; i++) {
+      if (inFlight > 0 && random.nextBoolean()) {
+        drain.exit();
+        inFlight--;
+      } else if (drain.tryEnter()) {
+        inFlight++;
+      }
+    }
+    CompletableFuture<Void> idle = drain.close();
+    while (inFlight > 0) {
+      assertFalse(idle.isDone());
+      assertFalse(drain.tryEnter());
+      drain.exit();
+      inFlight--;
+    }
+    assertTrue(idle.isDone());
+    assertEquals(0, drain.inFlight());
+  }
+
+  /** I8: a target that leaves must not go on receiving work. */
+  @Test
+  void refusesAfterTheDelayAndAcceptsWhenItStays() {
+    DrainCoordinator drain = coordinator();
+    drain.leave();
+    time.advance(Duration.ofMillis(2_999));
+    assertTrue(drain.tryEnter());
+    time.advance(Duration.ofMillis(1));
+    assertFalse(drain.tryEnter());
+    drain.stay();
+    assertTrue(drain.tryEnter());
+    drain.leaveForGood();
+    drain.stay();
+    time.advance(Duration.ofSeconds(3));
+    assertFalse(drain.tryEnter());
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -0,0 +1,222 @@
+package org.acaciapond.node.proxy;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.model.LimitsConfig;
+import org.acaciapond.config.model.MeshConfig;
+import org.acaciapond.config.model.RouteConfig;
+import org.acaciapond.config.model.ServiceConfig;
+import org.acaciapond.config.model.VersionConfig;
+import org.acaciapond.config.snapshot.Scope;
+import org.acaciapond.config.snapshot.Snapshot;
+import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.config.version.ConfigCodec;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.routing.call.CallRecord;
+import org.acaciapond.routing.target.TargetEndpoint;
+import org.acaciapond.routing.target.VersionSplit;
+
+/** Outbound node of a service {@code front} and any number of targets of a service {@code back}. */
+final class ProxyFixture implements AutoCloseable {
+
+  static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final long WAIT_S = 20;
+
+  record Answer(int status, MultiMap headers, Buffer body) {}
+
+  final Vertx vertx = Vertx.vertx();
+  final RequestPathCounters counters = new RequestPathCounters();
+  final ConcurrentLinkedQueue<CallRecord> records = new ConcurrentLinkedQueue<>();
+  final List<TargetEndpoint> endpoints = new CopyOnWriteArrayList<>();
+  final List<InboundProxy> inbounds = new ArrayList<>();
+  final List<LocalTarget> targets = new ArrayList<>();
+  final OutboundProxy outbound;
+  private final HttpClient client =
+      vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(64));
+
+  ProxyFixture() {
+    outbound =
+        new OutboundProxy(
+            vertx,
+            TimeSource.system(),
+            holder("front"),
+            service -> List.copyOf(endpoints),
+            service -> VersionSplit.only(service.currentVersion()),
+            records::add,
+            "a",
+            0,
+            options(),
+            counters);
+    outbound.start().await().indefinitely();
+  }
+
+  private static RequestPathOptions options() {
+    return new RequestPathOptions(2, 300, false, true);
+  }
+
+  private static SnapshotHolder holder(String own) {
+    MeshConfig config =
+        new MeshConfig(
+            List.of(
+                service("front", List.of("back"), true),
+                service("back", List.of(), false),
+                service("stranger", List.of(), false)));
+    SnapshotHolder holder = new SnapshotHolder(Snapshot.empty(own));
+    holder.offer(
+        Snapshot.build(
+            new ConfigVersion(1, 1, "d"),
+            Scope.of(own, config),
+            config.services().stream().map(ConfigCodec::slice).toList()));
+    return holder;
+  }
+
+  private static ServiceConfig service(String name, List<String> dependsOn, boolean exposed) {
+    return new ServiceConfig(
+        name,
+        dependsOn,
+        exposed,
+        List.of(
+            new RouteConfig("/safe", true, 8_000, 1, null),
+            new RouteConfig("/once", false, 8_000, 1, null),
+            new RouteConfig("/quick", false, 300, 1, null)),
+        new LimitsConfig(16, 16, 100, MAX_BODY_BYTES),
+        List.of(new VersionConfig("v1")),
+        "v1",
+        null);
+  }
+
+  /** Adds a target behind its own inbound node and returns the port of the node. */
+  int addTarget(Handler<HttpServerRequest> handler) {
+    int port =
+        await(vertx.createHttpServer().requestHandler(handler).listen(0, "127.0.0.1")).actualPort();
+    return addNode(port);
+  }
+
+  /** Adds an inbound node whose target listens on a port, or does not listen at all. */
+  int addNode(int targetPort) {
+    LocalTarget target = new LocalTarget();
+    target.announce(new LocalTarget.Announcement("v1", targetPort, 1, false));
+    InboundProxy inbound =
+        new InboundProxy(
+            vertx,
+            TimeSource.system(),
+            holder("back"),
+            target,
+            "127.0.0.1",
+            0,
+            options(),
+            counters);
+    inbound.start().await().indefinitely();
+    inbounds.add(inbound);
+    targets.add(target);
+    addEndpoint(inbound.port());
+    return inbound.port();
+  }
+
+  void addEndpoint(int port) {
+    endpoints.add(
+        new TargetEndpoint("h" + endpoints.size(), "127.0.0.1", port, "a", "back", "v1", 1, false));
+  }
+
+  Answer call(HttpMethod method, String path, Buffer body, String... headers) {
+    return await(send(outbound.port(), "back", method, path, body, headers));
+  }
+
+  Future<Answer> send(
+      int port, String host, HttpMethod method, String path, Buffer body, String... headers) {
+    RequestOptions options =
+        new RequestOptions()
+            .setServer(SocketAddress.inetSocketAddress(port, "127.0.0.1"))
+            .setHost(host)
+            .setPort(port)
+            .setMethod(method)
+            .setURI(path);
+    for (int i = 0; i < headers.length; i += 2) {
+      options.putHeader(headers[i], headers[i + 1]);
+    }
+    return client
+        .request(options)
+        .compose(request -> body.length() == 0 ? request.send() : request.send(body))
+        .compose(
+            response ->
+                response
+                    .body()
+                    .map(data -> new Answer(response.statusCode(), response.headers(), data)));
+  }
+
+  /** Starts a relay that can stop passing bytes on its open connections while new ones work. */
+  Relay relay(int toPort) {
+    return new Relay(toPort);
+  }
+
+  final class Relay {
+    private final List<NetSocket> open = new CopyOnWriteArrayList<>();
+    final int port;
+
+    Relay(int toPort) {
+      port =
+          await(
+                  vertx
+                      .createNetServer()
+                      .connectHandler(
+                          near -> {
+                            near.pause();
+                            vertx
+                                .createNetClient()
+                                .connect(toPort, "127.0.0.1")
+                                .onSuccess(far -> join(near, far));
+                          })
+                      .listen(0, "127.0.0.1"))
+              .actualPort();
+    }
+
+    private void join(NetSocket near, NetSocket far) {
+      open.add(near);
+      open.add(far);
+      near.handler(far::write);
+      far.handler(near::write);
+      near.closeHandler(ignored -> far.close());
+      far.closeHandler(ignored -> near.close());
+      near.resume();
+    }
+
+    void silence() {
+      open.forEach(socket -> socket.handler(data -> {}));
+    }
+
+    void cut() {
+      open.forEach(NetSocket::close);
+    }
+  }
+
+  static <T> T await(Future<T> future) {
+    try {
+      return future.toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    await(vertx.close());
+  }
+}
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/admission/AdmissionController.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/admission/AdmissionController.java
@@ -138,6 +138,12 @@
     drain();
   }
 
+  /** Frees the slot of a call that was admitted but never handed to the target. */
+  public void releaseUnused() {
+    inFlight.decrementAndGet();
+    drain();
+  }
+
   private void backOff() {
     long now = time.nanoTime();
     long last = backedOffNanos.get();
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/call/AttemptResult.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/call/AttemptResult.java
@@ -8,6 +8,8 @@
   TARGET_ERROR(CallOutcome.TARGET_ERROR, true),
   /** The receiving node refused before anything reached its target. */
   REFUSED_NOT_RUN(CallOutcome.NOT_RUN, false),
+  /** The receiving node refused for a reason that holds at every target, and ran nothing. */
+  REJECTED(CallOutcome.NOT_RUN, false),
   /** No connection could be established, so nothing was sent. */
   CONNECT_FAILED(CallOutcome.NOT_RUN, false),
   /** The connection was lost after something was sent, or the receiving node lost its target. */
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallAttempts.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallAttempts.java
@@ -31,6 +31,11 @@
     this.budget = budget;
   }
 
+  /** Returns whether a target may have run the call in an attempt that is over. */
+  public boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
   /** Returns the number of retries decided so far. */
   public int retries() {
     return retries;
@@ -46,6 +51,7 @@
     switch (result) {
       case ANSWERED:
       case TARGET_ERROR:
+      case REJECTED:
         return CallDecision.PASS_ON;
       case CALLER_GONE:
         return CallDecision.ABANDON;
