Add metrics, traces and status of the request path

Tracing is off by default and then starts no span. Two tests raced with the code they test: the silent connection test now uses one event loop, so that its second call must meet the silent connection, and the cancellation test waits for the slot.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -13,10 +13,16 @@
 import org.acaciapond.node.distribution.HeadPoller;
 import org.acaciapond.node.membership.AnnounceService;
 import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.node.proxy.HopTracer;
 import org.acaciapond.node.proxy.InboundProxy;
 import org.acaciapond.node.proxy.OutboundProxy;
 import org.acaciapond.node.proxy.RequestPathCounters;
 import org.acaciapond.node.proxy.RequestPathOptions;
+import org.acaciapond.node.telemetry.JsonLinesSpanSink;
+import org.acaciapond.node.telemetry.NodeMetrics;
+import org.acaciapond.node.telemetry.OpenTelemetryHopTracer;
+import org.acaciapond.node.telemetry.RequestPathStatus;
+import org.acaciapond.node.telemetry.TelemetrySettings;
 import org.acaciapond.platform.client.HttpPlatformClient;
 import org.acaciapond.protocol.codec.AnnounceMessageCodec;
 import org.acaciapond.protocol.codec.CodecRegistry;
@@ -35,6 +41,7 @@
   private final TimeSource time;
   private final SnapshotHolder holder;
   private final LocalTarget localTarget = new LocalTarget();
+  private final NodeMetrics metrics = new NodeMetrics();
   private final RequestPathCounters requestPathCounters = new RequestPathCounters();
   private final PeerTransport transport;
   private final AnnounceService announce;
@@ -64,6 +71,7 @@
             Arrays.stream(settings.get(NodeSettings.SEEDS)).map(PeerAddress::parse).toList(),
             this::selfRecord,
             settings.get(NodeSettings.ANNOUNCE_INTERVAL_MS));
+    HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
     RequestPathOptions requestPath = RequestPathOptions.of(settings);
     this.inbound =
         new InboundProxy(
@@ -74,7 +82,8 @@
             ip,
             port(NodeSettings.INBOUND_PORT),
             requestPath,
-            requestPathCounters);
+            requestPathCounters,
+            tracer);
     this.outbound =
         new OutboundProxy(
             vertx,
@@ -82,12 +91,17 @@
             holder,
             announce,
             service -> VersionSplit.only(service.currentVersion()),
-            record -> {},
+            metrics,
             settings.get(NodeSettings.FAILURE_DOMAIN),
             port(NodeSettings.OUTBOUND_PORT),
             requestPath,
-            requestPathCounters);
-    this.admin = new AdminServer(vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT));
+            requestPathCounters,
+            tracer);
+    RequestPathStatus status = new RequestPathStatus(holder, announce, outbound, inbound);
+    this.admin =
+        new AdminServer(
+            vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT), metrics, status::addTo);
+    addMetrics();
     PeerAddress platformAddress = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
     HttpPlatformClient platform =
         new HttpPlatformClient(
@@ -99,6 +113,20 @@
     this.services = List.of(transport, outbound, inbound, admin, announce, poller);
   }
 
+  private static HopTracer newTracer(long perMillion) {
+    return perMillion == 0
+        ? HopTracer.NONE
+        : new OpenTelemetryHopTracer(perMillion, JsonLinesSpanSink.toLog());
+  }
+
+  private void addMetrics() {
+    metrics.addRequestPath(requestPathCounters);
+    metrics.addAdmission(inbound.admission());
+    metrics.addEjections(() -> outbound.selector().ejectionCount());
+    metrics.addSnapshots(holder);
+    metrics.addTransport(transport.counters());
+  }
+
   private void acceptPeer(PeerConnection connection) {
     connection.onMessage(announce::onMessage);
   }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.acaciapond.common.settings.SettingDescriptor;
 import org.acaciapond.node.proxy.RequestPathSettings;
+import org.acaciapond.node.telemetry.TelemetrySettings;
 
 /** Descriptors of the settings of a node. */
 public final class NodeSettings {
@@ -82,7 +83,8 @@
           POLL_INTERVAL_MS,
           ANNOUNCE_INTERVAL_MS,
           RequestPathSettings.EVENT_LOOPS,
-          RequestPathSettings.DRAIN_DELAY_MS);
+          RequestPathSettings.DRAIN_DELAY_MS,
+          TelemetrySettings.TRACES_PER_MILLION);
 
   private NodeSettings() {}
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/admin/AdminServer.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/admin/AdminServer.java
@@ -2,16 +2,19 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.util.function.Consumer;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
 import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.node.telemetry.NodeMetrics;
 
 /** Loopback listener for health, status and the announcements of the target. */
 public final class AdminServer implements ManagedService {
@@ -21,9 +24,19 @@
   private final SnapshotHolder holder;
   private final LocalTarget localTarget;
   private final HttpServer server;
+  private final NodeMetrics metrics;
+  private final Consumer<JsonObject> requestPathStatus;
 
   /** Creates a listener. */
-  public AdminServer(Vertx vertx, SnapshotHolder holder, LocalTarget localTarget, int port) {
+  public AdminServer(
+      Vertx vertx,
+      SnapshotHolder holder,
+      LocalTarget localTarget,
+      int port,
+      NodeMetrics metrics,
+      Consumer<JsonObject> requestPathStatus) {
+    this.metrics = metrics;
+    this.requestPathStatus = requestPathStatus;
     this.holder = holder;
     this.localTarget = localTarget;
     Router router = Router.router(vertx);
@@ -31,6 +44,7 @@
     router.get("/live").handler(context -> context.response().end());
     router.get("/ready").handler(this::ready);
     router.get("/status").handler(this::status);
+    router.get("/metrics").handler(this::metrics);
     router.put("/target").handler(this::announceTarget);
     this.server =
         vertx
@@ -57,19 +71,28 @@
 
   private void ready(RoutingContext context) {
     boolean ready = holder.current().version().sequence() > 0;
-    context.response().setStatusCode(ready ? 200 : 503).end();
+    context
+        .response()
+        .setStatusCode(ready ? 200 : 503)
+        .end(ready ? "ready\n" : "no configuration is in force yet\n");
   }
 
-  private void status(RoutingContext context) {
-    Snapshot snapshot = holder.current();
+  private void metrics(RoutingContext context) {
     context
         .response()
-        .end(
-            new JsonObject()
-                .put("epoch", snapshot.version().epoch())
-                .put("sequence", snapshot.version().sequence())
-                .put("digest", snapshot.version().digest())
-                .toBuffer());
+        .putHeader("content-type", metrics.contentType())
+        .end(Buffer.buffer(metrics.text()));
+  }
+
+  private void status(RoutingContext context) {
+    Snapshot snapshot = holder.current();
+    JsonObject status =
+        new JsonObject()
+            .put("epoch", snapshot.version().epoch())
+            .put("sequence", snapshot.version().sequence())
+            .put("digest", snapshot.version().digest());
+    requestPathStatus.accept(status);
+    context.response().end(status.toBuffer());
   }
 
   private void announceTarget(RoutingContext context) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
@@ -33,6 +33,8 @@
 
   void start() {
     timerId = vertx.setPeriodic(INTERVAL_MS, id -> check());
+    // The calls on the connection report its loss themselves.
+    connection.exceptionHandler(error -> {});
     connection.closeHandler(ignored -> vertx.cancelTimer(timerId));
   }
 
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/HopSpan.java
@@ -0,0 +1,18 @@
+package org.acaciapond.node.proxy;
+
+import io.vertx.core.MultiMap;
+
+/** Span of one call at one hop; ended exactly once. */
+public interface HopSpan {
+
+  /** Writes the context of this span into the headers that go on. */
+  void inject(MultiMap headers);
+
+  /**
+   * Ends the span.
+   *
+   * @param status HTTP status sent to the caller
+   * @param end how the call ended
+   */
+  void end(int status, String end);
+}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
@@ -41,7 +41,13 @@
       long maxBodyBytes,
       long deadlineNanos) {
     super(
-        context.vertx(), context.time(), request, maxBodyBytes, deadlineNanos, context.counters());
+        context.vertx(),
+        context.time(),
+        request,
+        maxBodyBytes,
+        deadlineNanos,
+        context.counters(),
+        context.tracer().start("inbound", request.headers()));
     this.context = context;
     this.client = client;
     this.service = service;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundContext.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundContext.java
@@ -11,4 +11,5 @@
     AdmissionController admission,
     RequestPathOptions options,
     RequestPathCounters counters,
+    HopTracer tracer,
     DrainCoordinator drain) {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -49,7 +49,8 @@
       String ip,
       int port,
       RequestPathOptions options,
-      RequestPathCounters counters) {
+      RequestPathCounters counters,
+      HopTracer tracer) {
     this.holder = holder;
     this.localTarget = localTarget;
     this.context =
@@ -59,6 +60,7 @@
             new AdmissionController(time, limits(holder.current())),
             options,
             counters,
+            tracer,
             new DrainCoordinator(time, TimeUnit.MILLISECONDS.toNanos(options.drainDelayMs())));
     this.listener =
         new ProxyListener(
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -48,7 +48,8 @@
         request,
         service.limits().maxBodyBytes(),
         deadlineNanos,
-        context.counters());
+        context.counters(),
+        context.tracer().start("outbound", request.headers()));
     this.context = context;
     this.client = client;
     this.service = service;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundContext.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundContext.java
@@ -21,4 +21,5 @@
     CallListener listener,
     RequestPathOptions options,
     RequestPathCounters counters,
+    HopTracer tracer,
     DrainCoordinator drain) {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
@@ -42,7 +42,8 @@
       String failureDomain,
       int port,
       RequestPathOptions options,
-      RequestPathCounters counters) {
+      RequestPathCounters counters,
+      HopTracer tracer) {
     this.context =
         new OutboundContext(
             vertx,
@@ -55,6 +56,7 @@
             calls,
             options,
             counters,
+            tracer,
             new DrainCoordinator(time, 0));
     this.listener =
         new ProxyListener(
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
@@ -30,6 +30,7 @@
   final ReplayBody body;
   final long deadlineNanos;
   private final RequestPathCounters counters;
+  private final @Nullable HopSpan span;
   private @Nullable HttpClientRequest outgoing;
   private long timerId = -1;
   private int attempt;
@@ -43,12 +44,14 @@
       HttpServerRequest request,
       long maxBodyBytes,
       long deadlineNanos,
-      RequestPathCounters counters) {
+      RequestPathCounters counters,
+      @Nullable HopSpan span) {
     this.vertx = vertx;
     this.time = time;
     this.request = request;
     this.deadlineNanos = deadlineNanos;
     this.counters = counters;
+    this.span = span;
     this.body = new ReplayBody(request, maxBodyBytes, this::refuseTooLarge);
     request.exceptionHandler(error -> callerGone());
     request.response().exceptionHandler(error -> callerGone());
@@ -148,6 +151,9 @@
     sent = true;
     HopHeaders.copy(request.headers(), next.headers());
     prepare(next);
+    if (span != null) {
+      span.inject(next.headers());
+    }
     next.exceptionHandler(error -> {});
     next.response().onComplete(answer -> answered(current, answer));
     body.sendTo(next);
@@ -223,7 +229,7 @@
         abandonAttempt();
       }
       body.discard();
-      onEnd(End.ANSWERED);
+      ended(End.ANSWERED);
     }
   }
 
@@ -234,7 +240,7 @@
     if (finish()) {
       abandonAttempt();
       request.response().reset();
-      onEnd(end);
+      ended(end);
     }
   }
 
@@ -247,7 +253,7 @@
     String outcome = notRun ? MeshHeaders.OUTCOME_NOT_RUN : MeshHeaders.OUTCOME_UNKNOWN;
     Refusals.refuse(request, status, outcome, reason);
     body.discard();
-    onEnd(End.REFUSED);
+    ended(End.REFUSED);
   }
 
   private void refuseTooLarge() {
@@ -271,8 +277,15 @@
     if (finish()) {
       abandonAttempt();
       body.discard();
-      onEnd(End.CALLER_GONE);
+      ended(End.CALLER_GONE);
+    }
+  }
+
+  private void ended(End end) {
+    if (span != null) {
+      span.end(request.response().getStatusCode(), end.name());
     }
+    onEnd(end);
   }
 
   private boolean finish() {
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
@@ -19,6 +19,7 @@
 import org.acaciapond.routing.call.CallOutcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class ProxyCallsTest {
 
@@ -160,6 +161,7 @@
 
   /** Work for a caller that is gone would take slots from callers that wait. */
   @Test
+  @Timeout(30)
   void cancellationReachesTheTarget() throws Exception {
     CompletableFuture<Void> arrived = new CompletableFuture<>();
     CompletableFuture<Void> cancelled = new CompletableFuture<>();
@@ -174,7 +176,10 @@
     arrived.get(10, TimeUnit.SECONDS);
     caller.close();
     cancelled.get(5, TimeUnit.SECONDS);
-    assertEquals(0, mesh.inbounds.get(0).admission().inFlight());
+    while (mesh.inbounds.get(0).admission().inFlight() > 0) {
+      // The slot is freed after the connection to the target was closed; it must not stay taken.
+      Thread.onSpinWait();
+    }
   }
 
   @Test
@@ -222,6 +227,12 @@
   /** An open connection that went silent would hang its calls until their deadline. */
   @Test
   void silentConnectionIsReplacedAndItsCallsFollowTheRetryRule() {
+    try (ProxyFixture single = new ProxyFixture(1)) {
+      checkSilentConnections(single);
+    }
+  }
+
+  private void checkSilentConnections(ProxyFixture mesh) {
     int node = mesh.addTarget(this::answer);
     mesh.endpoints.clear();
     ProxyFixture.Relay relay = mesh.relay(node);
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -49,10 +49,17 @@
   final List<InboundProxy> inbounds = new ArrayList<>();
   final List<LocalTarget> targets = new ArrayList<>();
   final OutboundProxy outbound;
+  private final int eventLoops;
   private final HttpClient client =
       vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(64));
 
   ProxyFixture() {
+    this(2);
+  }
+
+  /** With one event loop, all calls of the front share one connection to each node. */
+  ProxyFixture(int eventLoops) {
+    this.eventLoops = eventLoops;
     outbound =
         new OutboundProxy(
             vertx,
@@ -64,12 +71,13 @@
             "a",
             0,
             options(),
-            counters);
+            counters,
+            HopTracer.NONE);
     outbound.start().await().indefinitely();
   }
 
-  private static RequestPathOptions options() {
-    return new RequestPathOptions(2, 300, false, true);
+  private RequestPathOptions options() {
+    return new RequestPathOptions(eventLoops, 300, false, true);
   }
 
   private static SnapshotHolder holder(String own) {
@@ -123,7 +131,8 @@
             "127.0.0.1",
             0,
             options(),
-            counters);
+            counters,
+            HopTracer.NONE);
     inbound.start().await().indefinitely();
     inbounds.add(inbound);
     targets.add(target);
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/telemetry/TelemetryTest.java
@@ -0,0 +1,56 @@
+package org.acaciapond.node.telemetry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.acaciapond.node.proxy.HopSpan;
+import org.acaciapond.node.proxy.RequestPathCounters;
+import org.acaciapond.routing.call.CallOutcome;
+import org.acaciapond.routing.call.CallRecord;
+import org.junit.jupiter.api.Test;
+
+class TelemetryTest {
+
+  private static final String TRACE = "0af7651916cd43dd8448eb211c80319c";
+  private static final String PARENT = "b7ad6b7169203331";
+
+  @Test
+  void callsAreCountedByOutcomeAndTimed() {
+    NodeMetrics metrics = new NodeMetrics();
+    metrics.addRequestPath(new RequestPathCounters());
+    CallRecord call = new CallRecord("s", "v1", "/", "h", CallOutcome.TIMEOUT, 3_000_000);
+    metrics.onCall(call);
+    metrics.onCall(call);
+    String text = new String(metrics.text(), java.nio.charset.StandardCharsets.UTF_8);
+    String labels = "{outcome=\"TIMEOUT\",route=\"/\",service=\"s\",version=\"v1\"}";
+    assertTrue(text.contains("acaciapond_calls_total" + labels + " 2.0"), text);
+    assertTrue(text.contains("acaciapond_call_seconds_count"), text);
+    assertTrue(text.contains("acaciapond_retries_total 0.0"), text);
+  }
+
+  /** A hop that starts a trace of its own would break the trace of the caller. */
+  @Test
+  void spanContinuesTheTraceOfTheCaller() {
+    List<String> lines = new CopyOnWriteArrayList<>();
+    MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+    headers.add("traceparent", "00-" + TRACE + "-" + PARENT + "-01");
+    MultiMap next = MultiMap.caseInsensitiveMultiMap().addAll(headers);
+    try (OpenTelemetryHopTracer tracer =
+        new OpenTelemetryHopTracer(0, new JsonLinesSpanSink(lines::add))) {
+      HopSpan span = tracer.start("outbound", headers);
+      span.inject(next);
+      span.end(503, "REFUSED");
+    }
+    JsonObject line = new JsonObject(lines.get(0));
+    assertEquals(TRACE, line.getString("trace_id"));
+    assertEquals(PARENT, line.getString("parent_span_id"));
+    assertEquals(503, line.getInteger("status"));
+    assertEquals("00-" + TRACE + "-" + line.getString("span_id") + "-01", next.get("traceparent"));
+    assertNotEquals(PARENT, line.getString("span_id"));
+  }
+}
