Add the benchmark of calls with the scenarios overload, chain and silent

Cause: no figure stated what the path through two nodes costs. The command runs platform, nodes and target as processes of their own and alternates seconds of direct and proxied calls in one run; the scenarios run proxies in one process and say so.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package org.acaciapond.bench;
 
 import java.util.Arrays;
+import org.acaciapond.bench.calls.CallsCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
 /** Entry point of the binary {@code acaciapond-bench}; exits 2 on wrong options. */
@@ -11,14 +12,17 @@
   private BenchMain() {}
 
   /** Runs the experiment named by the first argument. */
-  public static void main(String[] args) {
+  public static void main(String[] args) throws Exception {
     String command = args.length == 0 ? "" : args[0];
     String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
     if (command.equals("target")) {
       TargetCommand.run(rest);
       return;
     }
-    System.err.println("usage: acaciapond-bench target [options]");
+    if (command.equals("calls")) {
+      System.exit(CallsCommand.run(rest));
+    }
+    System.err.println("usage: acaciapond-bench target|calls [options]");
     System.exit(EXIT_BAD_INPUT);
   }
 }
--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/EchoTarget.java
@@ -0,0 +1,47 @@
+package org.acaciapond.bench.calls;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Target that answers each call with its path and body, and counts calls that came twice. */
+final class EchoTarget {
+
+  static final String STATS_PATH = "/stats";
+
+  private final Set<String> seen = ConcurrentHashMap.newKeySet();
+  private final LongAdder duplicates = new LongAdder();
+
+  /** Serves on a loopback port until the process is ended. */
+  static int serve(int port) throws InterruptedException {
+    EchoTarget target = new EchoTarget();
+    Vertx.vertx()
+        .createHttpServer()
+        .requestHandler(target::onRequest)
+        .listen(port, "127.0.0.1")
+        .onFailure(error -> System.exit(1));
+    new CountDownLatch(1).await();
+    return 0;
+  }
+
+  private void onRequest(HttpServerRequest request) {
+    if (request.path().equals(STATS_PATH)) {
+      request.response().end(new JsonObject().put("duplicates", duplicates.sum()).toBuffer());
+      return;
+    }
+    if (!seen.add(request.uri())) {
+      duplicates.increment();
+    }
+    request.bodyHandler(body -> request.response().end(answer(request.uri(), body)));
+  }
+
+  /** Returns the only right answer to a call. */
+  static Buffer answer(String uri, Buffer body) {
+    return Buffer.buffer(uri).appendBuffer(body);
+  }
+}
