--- /dev/null
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/virtual/package-info.java
@@ -0,0 +1,5 @@
+/** Runs of many membership state machines in virtual time, for tests and experiments. */
+@NullMarked
+package org.acaciapond.membership.virtual;
+
+import org.jspecify.annotations.NullMarked;
