Add membership codecs and harden the transport

Vert.x treats TLS options with the same paths as unchanged, so the reload is forced; the test of new key files failed before that.

--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/CodecRegistry.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/CodecRegistry.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.acaciapond.protocol.message.LivenessMessage;
 import org.acaciapond.protocol.message.Message;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -13,19 +14,39 @@
 /** Immutable set of the codecs that a node understands. */
 public final class CodecRegistry {
 
+  /** Largest type number, so that it takes one byte on the wire. */
+  private static final int MAX_TYPE_ID = 127;
+
   private final Map<Integer, MessageCodec<?>> byTypeId = new HashMap<>();
   private final Map<Class<?>, MessageCodec<?>> byType = new HashMap<>();
 
-  /** Creates a registry; type numbers must be unique. */
+  /**
+   * Creates a registry; type numbers must be unique. The codec of the liveness check, which every
+   * connection needs, is added when it is missing.
+   */
   public CodecRegistry(List<MessageCodec<?>> codecs) {
-    for (MessageCodec<?> codec : codecs) {
-      if (byTypeId.put(codec.typeId(), codec) != null) {
-        throw new IllegalArgumentException("duplicate type " + codec.typeId());
-      }
-      byType.put(codec.type(), codec);
+    codecs.forEach(this::add);
+    if (!byType.containsKey(LivenessMessage.class)) {
+      add(new LivenessMessageCodec());
     }
   }
 
+  private void add(MessageCodec<?> codec) {
+    if (codec.typeId() < 1 || codec.typeId() > MAX_TYPE_ID) {
+      throw new IllegalArgumentException("type out of range " + codec.typeId());
+    }
+    if (byTypeId.put(codec.typeId(), codec) != null) {
+      throw new IllegalArgumentException("duplicate type " + codec.typeId());
+    }
+    byType.put(codec.type(), codec);
+  }
+
+  /** Returns the limit of an encoded message of a type; 0 when the type is unknown. */
+  public int maxBytes(int typeId) {
+    MessageCodec<?> codec = byTypeId.get(typeId);
+    return codec == null ? 0 : codec.maxBytes();
+  }
+
   /** Encodes a message as the payload of a frame. */
   public byte[] encode(Message message) {
     MessageCodec<?> codec = byType.get(message.getClass());
@@ -36,7 +57,14 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packInt(codec.typeId());
       encodeWith(codec, message, packer);
-      return packer.toByteArray();
+      byte[] payload = packer.toByteArray();
+      if (payload.length > codec.maxBytes()) {
+        throw new ProtocolException(
+            ProtocolErrorCode.FRAME_TOO_LONG,
+            codec.type().getSimpleName() + " of " + payload.length + " bytes",
+            null);
+      }
+      return payload;
     } catch (IOException e) {
       throw new ProtocolException(ProtocolErrorCode.MALFORMED_MESSAGE, "cannot encode", e);
     }
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/MessageCodec.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/MessageCodec.java
@@ -12,9 +12,17 @@
  */
 public interface MessageCodec<M extends Message> {
 
+  /** Limit unless a codec sets its own: twice the slices of 520 services of about 1 KB. */
+  int DEFAULT_MAX_BYTES = 1024 * 1024;
+
   /** Returns the number of the type on the wire, from 1 to 127. */
   int typeId();
 
+  /** Returns the limit of an encoded message; longer frames close the connection. */
+  default int maxBytes() {
+    return DEFAULT_MAX_BYTES;
+  }
+
   /** Returns the type of the message. */
   Class<M> type();
 
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/MembershipMessage.java
@@ -0,0 +1,10 @@
+package org.acaciapond.protocol.message;
+
+import org.acaciapond.membership.MembershipPacket;
+
+/**
+ * Message of the membership protocol.
+ *
+ * @param packet content
+ */
+public record MembershipMessage(MembershipPacket packet) implements Message {}
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerTransport.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerTransport.java
@@ -2,30 +2,46 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.ClientAuth;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.PemTrustOptions;
+import io.vertx.core.net.SSLOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.List;
 import java.util.function.Consumer;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.protocol.codec.CodecRegistry;
 import org.acaciapond.protocol.codec.ProtocolErrorCode;
 import org.acaciapond.protocol.codec.ProtocolException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** Listener for, and maker of, connections between nodes. */
 public final class PeerTransport implements ManagedService {
 
+  private static final Logger LOG = LogManager.getLogger(PeerTransport.class);
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
   private final CodecRegistry codecs;
   private final PeerAddress listenAddress;
   private final Consumer<PeerConnection> acceptor;
   private final TransportCounters counters = new TransportCounters();
+  private final Vertx vertx;
+  private final TransportOptions options;
   private final NetServer server;
   private final NetClient client;
+  private long tlsTimerId = -1;
+  private FileTime tlsChangedAt = FileTime.fromMillis(0);
 
   /**
-   * Creates a transport.
+   * Creates a transport without TLS.
    *
    * @param vertx event loops to use
    * @param codecs messages that it understands
@@ -37,27 +53,138 @@
       CodecRegistry codecs,
       PeerAddress listenAddress,
       Consumer<PeerConnection> acceptor) {
+    this(vertx, codecs, listenAddress, acceptor, TransportOptions.DEFAULTS);
+  }
+
+  /**
+   * Creates a transport.
+   *
+   * @param vertx event loops to use
+   * @param codecs messages that it understands
+   * @param listenAddress address to listen on
+   * @param acceptor receives each accepted connection and registers for its messages
+   * @param options limits and TLS
+   */
+  public PeerTransport(
+      Vertx vertx,
+      CodecRegistry codecs,
+      PeerAddress listenAddress,
+      Consumer<PeerConnection> acceptor,
+      TransportOptions options) {
+    this.vertx = vertx;
     this.codecs = codecs;
     this.listenAddress = listenAddress;
     this.acceptor = acceptor;
-    this.server =
-        vertx.createNetServer(
-            new NetServerOptions().setHost(listenAddress.ip()).setPort(listenAddress.port()));
-    this.client =
-        vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+    this.options = options;
+    NetServerOptions serverOptions =
+        new NetServerOptions().setHost(listenAddress.ip()).setPort(listenAddress.port());
+    NetClientOptions clientOptions = new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS);
+    if (options.tls() != null) {
+      serverOptions
+          .setSsl(true)
+          .setKeyCertOptions(keys(options.tls()))
+          .setTrustOptions(trust(options.tls()))
+          .setClientAuth(ClientAuth.REQUIRED);
+      // Nodes are reached by IP address and identified by an authority of the fleet's own.
+      clientOptions
+          .setSsl(true)
+          .setKeyCertOptions(keys(options.tls()))
+          .setTrustOptions(trust(options.tls()))
+          .setHostnameVerificationAlgorithm("");
+    }
+    this.server = vertx.createNetServer(serverOptions);
+    this.client = vertx.createNetClient(clientOptions);
+  }
+
+  private static PemKeyCertOptions keys(TlsFiles files) {
+    return new PemKeyCertOptions().setKeyPath(files.keyPath()).setCertPath(files.certificatePath());
+  }
+
+  private static PemTrustOptions trust(TlsFiles files) {
+    return new PemTrustOptions().addCertPath(files.trustPath());
   }
 
   @Override
   public Uni<Void> start() {
     server.connectHandler(
-        socket -> acceptor.accept(new SocketPeerConnection(socket, codecs, counters)));
+        socket ->
+            acceptor.accept(new SocketPeerConnection(vertx, socket, codecs, counters, options)));
+    if (options.tls() != null) {
+      tlsChangedAt = newestChange(options.tls());
+      tlsTimerId = vertx.setPeriodic(options.tlsReloadIntervalMs(), id -> reloadTlsIfChanged());
+    }
     return Uni.createFrom()
         .completionStage(() -> server.listen().toCompletionStage())
+        .onFailure()
+        .transform(e -> new ProtocolException(listenErrorCode(), "cannot listen: " + e, e))
+        .replaceWithVoid();
+  }
+
+  private ProtocolErrorCode listenErrorCode() {
+    return options.tls() == null
+        ? ProtocolErrorCode.CONNECT_FAILED
+        : ProtocolErrorCode.TLS_FILES_INVALID;
+  }
+
+  private void reloadTlsIfChanged() {
+    TlsFiles files = options.tls();
+    if (files == null) {
+      return;
+    }
+    FileTime changedAt = newestChange(files);
+    if (changedAt.equals(tlsChangedAt)) {
+      return;
+    }
+    tlsChangedAt = changedAt;
+    reloadTls()
+        .subscribe()
+        .with(
+            ignored -> LOG.info("TLS files were loaded again"),
+            error -> LOG.warn("Keeping the old TLS files", error));
+  }
+
+  private static FileTime newestChange(TlsFiles files) {
+    FileTime newest = FileTime.fromMillis(0);
+    for (String path : List.of(files.keyPath(), files.certificatePath(), files.trustPath())) {
+      try {
+        FileTime changedAt = Files.getLastModifiedTime(Path.of(path));
+        newest = changedAt.compareTo(newest) > 0 ? changedAt : newest;
+      } catch (IOException e) {
+        LOG.debug("Cannot read the time of {}", path, e);
+      }
+    }
+    return newest;
+  }
+
+  /** Loads the TLS files again; new connections use them, and the old files stay on failure. */
+  public Uni<Void> reloadTls() {
+    TlsFiles files = options.tls();
+    if (files == null) {
+      return Uni.createFrom().voidItem();
+    }
+    // Forced, since options that name the same paths otherwise count as unchanged.
+    return Uni.createFrom()
+        .completionStage(
+            () ->
+                server
+                    .updateSSLOptions(sslOptions(files), true)
+                    .compose(done -> client.updateSSLOptions(sslOptions(files), true))
+                    .toCompletionStage())
+        .onFailure()
+        .transform(
+            e ->
+                new ProtocolException(
+                    ProtocolErrorCode.TLS_FILES_INVALID, "cannot load the TLS files", e))
         .replaceWithVoid();
   }
 
+  private static SSLOptions sslOptions(TlsFiles files) {
+    return new SSLOptions().setKeyCertOptions(keys(files)).setTrustOptions(trust(files));
+  }
+
   @Override
   public Uni<Void> stop() {
+    vertx.cancelTimer(tlsTimerId);
     return Uni.createFrom()
         .completionStage(() -> server.close().compose(v -> client.close()).toCompletionStage());
   }
@@ -71,7 +198,7 @@
             e ->
                 new ProtocolException(
                     ProtocolErrorCode.CONNECT_FAILED, "cannot connect to " + address, e))
-        .map(socket -> new SocketPeerConnection(socket, codecs, counters));
+        .map(socket -> new SocketPeerConnection(vertx, socket, codecs, counters, options));
   }
 
   /** Returns the address that it listens on; the port is the actual one once started. */
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
@@ -1,35 +1,62 @@
 package org.acaciapond.protocol.transport;
 
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.acaciapond.protocol.codec.CodecRegistry;
+import org.acaciapond.protocol.codec.ProtocolErrorCode;
 import org.acaciapond.protocol.codec.ProtocolException;
+import org.acaciapond.protocol.message.LivenessMessage;
 import org.acaciapond.protocol.message.Message;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
-/** Connection over a TCP socket; each frame is a four-byte length and a payload. */
+/**
+ * Connection over a TCP socket; each frame is a four-byte length and a payload, whose first byte is
+ * the type of the message.
+ *
+ * <p>The type is read together with the length, so that a frame over the limit of its type is
+ * refused before anything is buffered for it.
+ */
 final class SocketPeerConnection implements PeerConnection {
 
   private static final Logger LOG = LogManager.getLogger(SocketPeerConnection.class);
   private static final int LENGTH_BYTES = 4;
-  private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+  private static final int HEADER_BYTES = LENGTH_BYTES + 1;
 
+  private final Vertx vertx;
   private final NetSocket socket;
   private final CodecRegistry codecs;
   private final TransportCounters counters;
-  private final RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
-  private boolean readingLength = true;
+  private final TransportOptions options;
+  private final RecordParser parser = RecordParser.newFixed(HEADER_BYTES);
+  private final AtomicInteger pendingBytes = new AtomicInteger();
+  private final long checkTimerId;
+  private byte frameType;
+  private boolean readingHeader = true;
+  private volatile boolean closed;
+  private volatile long lastMessageNanos = System.nanoTime();
+  private long unansweredSinceNanos;
+  private boolean awaitingAnswer;
   private volatile Consumer<Message> receiver = message -> {};
   private volatile @Nullable Runnable closeCallback;
 
-  SocketPeerConnection(NetSocket socket, CodecRegistry codecs, TransportCounters counters) {
+  SocketPeerConnection(
+      Vertx vertx,
+      NetSocket socket,
+      CodecRegistry codecs,
+      TransportCounters counters,
+      TransportOptions options) {
+    this.vertx = vertx;
     this.socket = socket;
     this.codecs = codecs;
     this.counters = counters;
+    this.options = options;
     parser.handler(this::onRecord);
     socket.handler(
         buffer -> {
@@ -37,41 +64,107 @@
           parser.handle(buffer);
         });
     socket.exceptionHandler(error -> socket.close());
-    socket.closeHandler(
-        ignored -> {
-          Runnable callback = closeCallback;
-          if (callback != null) {
-            callback.run();
-          }
-        });
+    socket.closeHandler(ignored -> onClosed());
+    checkTimerId = vertx.setPeriodic(options.checkIntervalMs(), id -> check());
+  }
+
+  private void onClosed() {
+    closed = true;
+    vertx.cancelTimer(checkTimerId);
+    Runnable callback = closeCallback;
+    if (callback != null) {
+      callback.run();
+    }
   }
 
   private void onRecord(Buffer record) {
-    if (readingLength) {
-      int length = record.getInt(0);
-      if (length <= 0 || length > MAX_FRAME_BYTES) {
-        reject("frame of " + length + " bytes");
-        return;
-      }
-      readingLength = false;
-      parser.fixedSizeMode(length);
+    if (closed) {
       return;
     }
-    readingLength = true;
-    parser.fixedSizeMode(LENGTH_BYTES);
+    if (readingHeader) {
+      onHeader(record);
+    } else {
+      readingHeader = true;
+      parser.fixedSizeMode(HEADER_BYTES);
+      onPayload(Buffer.buffer(1 + record.length()).appendByte(frameType).appendBuffer(record));
+    }
+  }
+
+  private void onHeader(Buffer header) {
+    int length = header.getInt(0);
+    frameType = header.getByte(LENGTH_BYTES);
+    int limit = codecs.maxBytes(frameType);
+    if (limit == 0) {
+      reject(ProtocolErrorCode.UNKNOWN_MESSAGE, "type " + frameType);
+    } else if (length <= 0 || length > limit) {
+      reject(ProtocolErrorCode.FRAME_TOO_LONG, length + " bytes of type " + frameType);
+    } else if (length == 1) {
+      onPayload(Buffer.buffer(new byte[] {frameType}));
+    } else {
+      readingHeader = false;
+      parser.fixedSizeMode(length - 1);
+    }
+  }
+
+  private void onPayload(Buffer payload) {
+    Message message;
     try {
-      receiver.accept(codecs.decode(record.getBytes()));
+      message = codecs.decode(payload.getBytes());
     } catch (ProtocolException e) {
-      reject(e.getMessage());
+      reject((ProtocolErrorCode) e.code(), e.getMessage());
+      return;
+    }
+    if (message instanceof LivenessMessage liveness) {
+      onLiveness(liveness);
+    } else {
+      lastMessageNanos = System.nanoTime();
+      receiver.accept(message);
     }
   }
 
-  private void reject(@Nullable String reason) {
+  private void reject(ProtocolErrorCode code, @Nullable String reason) {
     counters.addMalformedFrame();
-    LOG.warn("Closing connection to {}: {}", remote(), reason);
+    drop(code, reason);
+  }
+
+  private void drop(ProtocolErrorCode code, @Nullable String reason) {
+    closed = true;
+    LOG.warn("Closing connection to {}: {}: {}", remote(), code, reason);
     socket.close();
   }
 
+  private void onLiveness(LivenessMessage message) {
+    if (message.answer()) {
+      awaitingAnswer = false;
+    } else {
+      write(new LivenessMessage(true));
+    }
+  }
+
+  private void check() {
+    long nowNanos = System.nanoTime();
+    if (closed) {
+      vertx.cancelTimer(checkTimerId);
+    } else if (awaitingAnswer && isOver(unansweredSinceNanos, options.answerTimeoutMs())) {
+      counters.addSilentConnection();
+      drop(ProtocolErrorCode.PEER_SILENT, "no answer to a liveness check");
+    } else if (isOver(lastMessageNanos, options.idleTimeoutMs())) {
+      counters.addIdleConnection();
+      socket.close();
+    } else {
+      if (!awaitingAnswer) {
+        awaitingAnswer = true;
+        unansweredSinceNanos = nowNanos;
+      }
+      write(new LivenessMessage(false));
+    }
+  }
+
+  private static boolean isOver(long sinceNanos, long limitMs) {
+    // A timer may fire slightly early; without the slack that would add a whole check interval.
+    return System.nanoTime() - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(limitMs) * 15 / 16;
+  }
+
   @Override
   public String remote() {
     return String.valueOf(socket.remoteAddress());
@@ -79,12 +172,25 @@
 
   @Override
   public void send(Message message) {
+    lastMessageNanos = System.nanoTime();
+    write(message);
+  }
+
+  private void write(Message message) {
+    if (closed) {
+      return;
+    }
     byte[] payload = codecs.encode(message);
-    counters.addSentBytes(LENGTH_BYTES + payload.length);
-    socket.write(
-        Buffer.buffer(LENGTH_BYTES + payload.length)
-            .appendInt(payload.length)
-            .appendBytes(payload));
+    int bytes = LENGTH_BYTES + payload.length;
+    if (pendingBytes.addAndGet(bytes) > options.maxPendingBytes()) {
+      counters.addSlowPeer();
+      drop(ProtocolErrorCode.PEER_SLOW, pendingBytes.get() + " bytes wait to be written");
+      return;
+    }
+    counters.addSentBytes(bytes);
+    socket
+        .write(Buffer.buffer(bytes).appendInt(payload.length).appendBytes(payload))
+        .onComplete(written -> pendingBytes.addAndGet(-bytes));
   }
 
   @Override
