Drive membership over the connections in the node

MembershipService replaces AnnounceService and provides the members, the replicated values and the targets that accept work. It reads seeds from settings and from the rows seeds/<domain>, keeps its own domain's row fresh when it has the lowest rendezvous rank, and leaves by LEAVING, a drain delay and LEFT. Close callbacks of a connection are now a list, since several services share accepted connections.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -9,16 +9,19 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.membership.Member;
+import org.acaciapond.membership.MemberState;
+import org.acaciapond.membership.NodeAddress;
 import org.acaciapond.node.admin.AdminServer;
 import org.acaciapond.node.distribution.HeadPoller;
-import org.acaciapond.node.membership.AnnounceService;
 import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.node.membership.MembershipService;
+import org.acaciapond.node.membership.MembershipSettingDescriptors;
 import org.acaciapond.node.proxy.InboundProxy;
 import org.acaciapond.node.proxy.OutboundProxy;
 import org.acaciapond.platform.client.HttpPlatformClient;
-import org.acaciapond.protocol.codec.AnnounceMessageCodec;
 import org.acaciapond.protocol.codec.CodecRegistry;
-import org.acaciapond.protocol.message.MemberRecord;
+import org.acaciapond.protocol.codec.MembershipMessageCodec;
 import org.acaciapond.protocol.transport.PeerAddress;
 import org.acaciapond.protocol.transport.PeerConnection;
 import org.acaciapond.protocol.transport.PeerTransport;
@@ -33,7 +36,7 @@
   private final SnapshotHolder holder;
   private final LocalTarget localTarget = new LocalTarget();
   private final PeerTransport transport;
-  private final AnnounceService announce;
+  private final MembershipService membership;
   private final InboundProxy inbound;
   private final OutboundProxy outbound;
   private final AdminServer admin;
@@ -49,52 +52,66 @@
     this.transport =
         new PeerTransport(
             vertx,
-            new CodecRegistry(List.of(new AnnounceMessageCodec())),
+            new CodecRegistry(List.of(new MembershipMessageCodec())),
             new PeerAddress(ip, port(NodeSettings.PEER_PORT)),
-            this::acceptPeer);
-    this.announce =
-        new AnnounceService(
-            vertx,
-            time,
-            transport,
-            Arrays.stream(settings.get(NodeSettings.SEEDS)).map(PeerAddress::parse).toList(),
-            this::selfRecord,
-            settings.get(NodeSettings.ANNOUNCE_INTERVAL_MS));
+            this::acceptPeer,
+            MembershipSettingDescriptors.transportOptions(settings));
     this.inbound =
         new InboundProxy(vertx, holder, localTarget, ip, port(NodeSettings.INBOUND_PORT));
-    this.outbound = new OutboundProxy(vertx, holder, announce, port(NodeSettings.OUTBOUND_PORT));
-    this.admin = new AdminServer(vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT));
     PeerAddress platformAddress = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
     HttpPlatformClient platform =
         new HttpPlatformClient(
             vertx, platformAddress.ip(), platformAddress.port(), PLATFORM_TIMEOUT_MS);
+    this.membership =
+        new MembershipService(
+            vertx,
+            time,
+            transport,
+            this::selfRecord,
+            localTarget,
+            ownService,
+            seeds(),
+            platform,
+            () -> true,
+            settings.get(MembershipSettingDescriptors.SEEDS_INTERVAL_MS),
+            settings.get(MembershipSettingDescriptors.DRAIN_DELAY_MS));
+    this.outbound = new OutboundProxy(vertx, holder, membership, port(NodeSettings.OUTBOUND_PORT));
+    this.admin = new AdminServer(vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT));
     HeadPoller poller =
         new HeadPoller(
             vertx, platform, holder, ownService, settings.get(NodeSettings.POLL_INTERVAL_MS));
-    this.services = List.of(transport, inbound, outbound, admin, announce, poller);
+    this.services = List.of(transport, inbound, outbound, admin, poller, membership);
   }
 
   private void acceptPeer(PeerConnection connection) {
-    connection.onMessage(announce::onMessage);
+    connection.onMessage(message -> membership.onMessage(connection, message));
   }
 
   private int port(org.acaciapond.common.settings.SettingDescriptor<Long> descriptor) {
     return settings.get(descriptor).intValue();
   }
 
-  private MemberRecord selfRecord() {
-    LocalTarget.Announcement target = localTarget.announcement();
-    return new MemberRecord(
+  private List<NodeAddress> seeds() {
+    return Arrays.stream(settings.get(NodeSettings.SEEDS))
+        .map(PeerAddress::parse)
+        .map(address -> new NodeAddress(address.ip(), address.port()))
+        .toList();
+  }
+
+  private Member selfRecord() {
+    boolean started = transport.isListening();
+    return new Member(
         settings.get(NodeSettings.HOST_ID),
         time.now().toEpochMilli(),
         settings.get(NodeSettings.IP),
-        transport.address().port(),
-        inbound.port(),
+        started ? transport.address().port() : port(NodeSettings.PEER_PORT),
+        started ? inbound.port() : port(NodeSettings.INBOUND_PORT),
         settings.get(NodeSettings.FAILURE_DOMAIN),
-        target == null ? "" : settings.get(NodeSettings.SERVICE),
-        target == null ? "" : target.version(),
-        target == null ? 1 : target.weight(),
-        target != null && target.leaving());
+        settings.get(NodeSettings.REGION),
+        "",
+        "",
+        1,
+        MemberState.ALIVE);
   }
 
   @Override
@@ -125,6 +142,11 @@
     return localTarget;
   }
 
+  /** Returns the membership of this node. */
+  public MembershipService membership() {
+    return membership;
+  }
+
   /** Returns the port of the outbound listener. */
   public int outboundPort() {
     return outbound.port();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -1,7 +1,9 @@
 package org.acaciapond.node;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.acaciapond.common.settings.SettingDescriptor;
+import org.acaciapond.node.membership.MembershipSettingDescriptors;
 
 /** Descriptors of the settings of a node. */
 public final class NodeSettings {
@@ -55,18 +57,9 @@
       SettingDescriptor.integer(
           "poll_interval_ms", "Interval between reads of the head.", 500L, 50, 60_000);
 
-  /** Interval between announcements. */
-  public static final SettingDescriptor<Long> ANNOUNCE_INTERVAL_MS =
-      SettingDescriptor.integer(
-          "announce_interval_ms",
-          "Interval between announcements to other nodes.",
-          1_000L,
-          50,
-          60_000);
-
   /** All settings of a node. */
   public static final List<SettingDescriptor<?>> ALL =
-      List.of(
+      concat(
           HOST_ID,
           SERVICE,
           FAILURE_DOMAIN,
@@ -78,11 +71,16 @@
           ADMIN_PORT,
           SEEDS,
           PLATFORM,
-          POLL_INTERVAL_MS,
-          ANNOUNCE_INTERVAL_MS);
+          POLL_INTERVAL_MS);
 
   private NodeSettings() {}
 
+  private static List<SettingDescriptor<?>> concat(SettingDescriptor<?>... own) {
+    List<SettingDescriptor<?>> all = new ArrayList<>(List.of(own));
+    all.addAll(MembershipSettingDescriptors.ALL);
+    return List.copyOf(all);
+  }
+
   private static SettingDescriptor<Long> port(String name, String description) {
     return SettingDescriptor.integer(name, description, null, 0, 65_535);
   }
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerConnection.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerConnection.java
@@ -14,7 +14,7 @@
   /** Registers the receiver of messages; there is one. */
   void onMessage(java.util.function.Consumer<Message> receiver);
 
-  /** Registers a callback for the end of the connection. */
+  /** Registers a callback for the end of the connection; it runs at once when that has come. */
   void onClose(Runnable callback);
 
   /** Closes the connection. */
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerTransport.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerTransport.java
@@ -207,6 +207,11 @@
     return new PeerAddress(listenAddress.ip(), port);
   }
 
+  /** Returns whether the listener is open. */
+  public boolean isListening() {
+    return server.actualPort() > 0;
+  }
+
   /** Returns the counters of all its connections. */
   public TransportCounters counters() {
     return counters;
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
@@ -4,6 +4,8 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -44,7 +46,8 @@
   private long unansweredSinceNanos;
   private boolean awaitingAnswer;
   private volatile Consumer<Message> receiver = message -> {};
-  private volatile @Nullable Runnable closeCallback;
+  private final List<Runnable> closeCallbacks = new ArrayList<>();
+  private boolean ended;
 
   SocketPeerConnection(
       Vertx vertx,
@@ -71,10 +74,13 @@
   private void onClosed() {
     closed = true;
     vertx.cancelTimer(checkTimerId);
-    Runnable callback = closeCallback;
-    if (callback != null) {
-      callback.run();
+    List<Runnable> callbacks;
+    synchronized (closeCallbacks) {
+      ended = true;
+      callbacks = List.copyOf(closeCallbacks);
+      closeCallbacks.clear();
     }
+    callbacks.forEach(Runnable::run);
   }
 
   private void onRecord(Buffer record) {
@@ -200,7 +206,13 @@
 
   @Override
   public void onClose(Runnable callback) {
-    this.closeCallback = callback;
+    synchronized (closeCallbacks) {
+      if (!ended) {
+        closeCallbacks.add(callback);
+        return;
+      }
+    }
+    callback.run();
   }
 
   @Override
