Bound the traffic after mass restarts and add the membership experiment

Updates are now dropped once a comparison of all state is due, what arrives during a join is not passed on, and transfers to joining nodes share 256 KiB/s and refer nodes to others.

--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/membership/MembershipCommand.java
@@ -0,0 +1,53 @@
+package org.acaciapond.bench.membership;
+
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.acaciapond.membership.MembershipPacket;
+import org.acaciapond.membership.MembershipSettings;
+import org.acaciapond.protocol.codec.CodecRegistry;
+import org.acaciapond.protocol.codec.MembershipMessageCodec;
+import org.acaciapond.protocol.message.MembershipMessage;
+
+/** Command that measures the membership protocol over a fleet in virtual time. */
+public final class MembershipCommand {
+
+  private static final CodecRegistry CODECS =
+      new CodecRegistry(List.of(new MembershipMessageCodec()));
+  private static final int FRAME_LENGTH_BYTES = 4;
+
+  private MembershipCommand() {}
+
+  /** Runs the experiment and prints its figures. */
+  public static void run(String[] args) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<Integer> members =
+        parser.accepts("members").withRequiredArg().ofType(Integer.class).defaultsTo(50);
+    OptionSpec<Integer> domains =
+        parser.accepts("domains").withRequiredArg().ofType(Integer.class).defaultsTo(6);
+    OptionSpec<Long> seed =
+        parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+    OptionSpec<Void> json = parser.accepts("json", "print one JSON object");
+    OptionSet options = parser.parse(args);
+    MembershipExperiment experiment =
+        new MembershipExperiment(
+            MembershipSettings.DEFAULTS,
+            options.valueOf(members),
+            options.valueOf(domains),
+            options.valueOf(seed),
+            MembershipCommand::wireBytes);
+    JsonObject figures = experiment.run();
+    if (options.has(json)) {
+      System.out.println(figures.encode());
+    } else {
+      figures.forEach(figure -> System.out.println(figure.getKey() + ": " + figure.getValue()));
+    }
+  }
+
+  /** Returns the bytes of a frame, without those of TCP and IP. */
+  static int wireBytes(MembershipPacket packet) {
+    return FRAME_LENGTH_BYTES + CODECS.encode(new MembershipMessage(packet)).length;
+  }
+}
--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Experiments with the membership of large fleets in virtual time. */
+@NullMarked
+package org.acaciapond.bench.membership;
+
+import org.jspecify.annotations.NullMarked;
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/MembershipState.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/MembershipState.java
@@ -322,7 +322,8 @@
     MemberTable.Offer offer = table.offer(news, lastTickMs);
     if (offer == MemberTable.Offer.TAKEN) {
       suspicions.onRecord(news);
-      if (!unknownTombstone) {
+      viewOutdated = true;
+      if (!unknownTombstone && !joiner.isJoining()) {
         noteChange(news);
       }
     }
@@ -371,6 +372,7 @@
     } else if (body instanceof MembershipBody.PullDone done) {
       if (joiner.onPullDone(from, done)) {
         antiEntropy.compareEarly();
+        noteChange(self);
       }
     } else if (body instanceof MembershipBody.PullDeferred deferred) {
       joiner.onPullDeferred(from, deferred);
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Exchange.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Exchange.java
@@ -39,7 +39,7 @@
     this.random = random;
     this.self = self;
     this.nowMs = nowMs;
-    this.updates = new UpdateQueue(table, store, settings.updateBytesPerSecond(), nowMs);
+    this.updates = new UpdateQueue(table, store, settings, nowMs);
   }
 
   /** Sets the time of the current call. */
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Joiner.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Joiner.java
@@ -46,6 +46,11 @@
     this.seeds = seeds;
   }
 
+  /** Returns whether a transfer is wanted; what arrives until then is no news to the others. */
+  public boolean isJoining() {
+    return !joined && !otherSeeds().isEmpty();
+  }
+
   /** Returns the seeds other than this node. */
   public List<NodeAddress> otherSeeds() {
     NodeAddress own = NodeAddress.of(exchange.self());
@@ -78,6 +83,11 @@
     if (known != null) {
       result.add(NodeAddress.of(known.member()));
     }
+    MemberEntry outside =
+        exchange.table.randomOutside(exchange.self().failureDomain(), exchange.random);
+    if (outside != null) {
+      result.add(NodeAddress.of(outside.member()));
+    }
     return result;
   }
 
@@ -108,6 +118,8 @@
   /** Waits as the seed asked, then tries again. */
   public void onPullDeferred(NodeAddress from, MembershipBody.PullDeferred deferred) {
     if (!joined && from.equals(seed)) {
+      failures = 0;
+      attempts = 0;
       nextMs = exchange.nowMs() + exchange.jitter(deferred.retryAfterMs());
     }
   }
@@ -115,19 +127,28 @@
   /** Admission of other nodes that join; bounds the transfers served at the same time. */
   public static final class Admission {
 
-    /** Four transfers of 16 KiB parts keep the burst of a seed under 64 KiB at a time. */
+    /** Parts of 16 KiB to four nodes keep what is on its way at a time under 64 KiB. */
     private static final int MAX_TRANSFERS = 4;
 
     private static final int PART_BYTES = 16 * 1024;
     private static final int RETRY_AFTER_MS = 1_000;
+    private static final int REFERRALS = 2;
+
+    /** Limit of all transfers together; a full transfer of 7,700 records takes about 4 s. */
+    private static final int BYTES_PER_SECOND = 256 * 1024;
+
+    private static final int BURST_BYTES = 128 * 1024;
 
     private final Exchange exchange;
     private final java.util.Map<NodeAddress, Long> active = new java.util.HashMap<>();
+    private double allowanceBytes = BURST_BYTES;
+    private long refilledAtMs;
     private long deferred;
 
     /** Creates an admission. */
     public Admission(Exchange exchange) {
       this.exchange = exchange;
+      this.refilledAtMs = exchange.nowMs();
     }
 
     /** Returns the number of transfers that were put off. */
@@ -137,10 +158,12 @@
 
     /** Sends a part, or puts the node off when enough others are served. */
     public void onPull(NodeAddress from, MembershipBody.Pull pull) {
+      refill();
       active.values().removeIf(since -> exchange.nowMs() - since >= ANSWER_TIMEOUT_MS);
-      if (!active.containsKey(from) && active.size() >= MAX_TRANSFERS) {
+      boolean admitted = active.containsKey(from) || active.size() < MAX_TRANSFERS;
+      if (!admitted || allowanceBytes <= 0) {
         deferred++;
-        exchange.sendBare(from, new MembershipBody.PullDeferred(RETRY_AFTER_MS));
+        defer(from);
         return;
       }
       active.put(from, exchange.nowMs());
@@ -150,6 +173,32 @@
       }
     }
 
+    private void refill() {
+      double earned = (exchange.nowMs() - refilledAtMs) * BYTES_PER_SECOND / 1_000.0;
+      allowanceBytes = Math.min(BURST_BYTES, allowanceBytes + earned);
+      refilledAtMs = exchange.nowMs();
+    }
+
+    /** Puts a node off and names other nodes, so that the load spreads over the fleet. */
+    private void defer(NodeAddress to) {
+      PacketBuilder packet =
+          new PacketBuilder(exchange.self(), new MembershipBody.PullDeferred(RETRY_AFTER_MS));
+      for (int i = 0; i < REFERRALS; i++) {
+        MemberEntry inside =
+            exchange.table.randomInDomain(
+                exchange.self().failureDomain(), exchange.self().hostId(), exchange.random);
+        MemberEntry outside =
+            exchange.table.randomOutside(exchange.self().failureDomain(), exchange.random);
+        if (inside != null) {
+          packet.add(inside.member());
+        }
+        if (outside != null) {
+          packet.add(outside.member());
+        }
+      }
+      exchange.send(to, packet);
+    }
+
     private int sendPart(NodeAddress to, int fromBucket) {
       List<Member> members = new ArrayList<>();
       List<GossipEntry> entries = new ArrayList<>();
@@ -166,6 +215,7 @@
         }
         bucket++;
       }
+      allowanceBytes -= bytes;
       exchange.sendItems(to, members, entries);
       exchange.sendBare(to, new MembershipBody.PullDone(bucket));
       return bucket;
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/UpdateQueue.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/UpdateQueue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.acaciapond.membership.GossipEntry;
 import org.acaciapond.membership.Member;
+import org.acaciapond.membership.MembershipSettings;
 import org.jspecify.annotations.Nullable;
 
 /** Updates that this node still passes on, those sent least often first. */
@@ -27,19 +28,30 @@
   private final MemberTable table;
   private final ReplicatedStore store;
   private final int bytesPerSecond;
+  private final long maxAgeMs;
   private final Map<Long, Update> current = new HashMap<>();
   private final List<Deque<Update>> levels = new ArrayList<>();
   private double allowanceBytes = BURST_BYTES;
   private long refilledAtMs;
 
   /** Update of one item; the content is looked up when it is sent, so that it is the newest. */
-  private record Update(long id, @Nullable String hostId, @Nullable String key) {}
-
-  /** Creates an empty queue. */
-  public UpdateQueue(MemberTable table, ReplicatedStore store, int bytesPerSecond, long nowMs) {
+  private record Update(long id, @Nullable String hostId, @Nullable String key, long addedAtMs) {}
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param table content of the updates of members
+   * @param store content of the updates of replicated values
+   * @param settings limit of the bytes; updates are dropped once a comparison of all state is due,
+   *     since after a mass restart they would otherwise be sent for hours
+   * @param nowMs current time
+   */
+  public UpdateQueue(
+      MemberTable table, ReplicatedStore store, MembershipSettings settings, long nowMs) {
     this.table = table;
     this.store = store;
-    this.bytesPerSecond = bytesPerSecond;
+    this.bytesPerSecond = settings.updateBytesPerSecond();
+    this.maxAgeMs = settings.antiEntropyIntervalMs();
     this.refilledAtMs = nowMs;
     for (int i = 0; i < LEVELS; i++) {
       levels.add(new ArrayDeque<>());
@@ -48,12 +60,12 @@
 
   /** Adds the current record of a member. */
   public void addMember(String hostId) {
-    add(new Update(ItemHash.ofMember(hostId), hostId, null));
+    add(new Update(ItemHash.ofMember(hostId), hostId, null, refilledAtMs));
   }
 
   /** Adds the current value of a key. */
   public void addEntry(String key) {
-    add(new Update(ItemHash.ofEntry(key), null, key));
+    add(new Update(ItemHash.ofEntry(key), null, key, refilledAtMs));
   }
 
   private void add(Update update) {
@@ -98,8 +110,9 @@
       Deque<Update> queue = levels.get(level);
       while (!queue.isEmpty()) {
         Update update = queue.peek();
-        if (current.get(update.id()) != update) {
+        if (isOutdated(update)) {
           queue.poll();
+          current.remove(update.id(), update);
           continue;
         }
         int bytes = append(update, packet);
@@ -122,6 +135,10 @@
     }
   }
 
+  private boolean isOutdated(Update update) {
+    return current.get(update.id()) != update || refilledAtMs - update.addedAtMs() >= maxAgeMs;
+  }
+
   private void requeue(Update update, int level, int limit) {
     if (level >= limit) {
       current.remove(update.id(), update);
