--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/membership/MembershipCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/membership/MembershipCommand.java
@@ -30,7 +30,13 @@
     OptionSpec<Long> seed =
         parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
     OptionSpec<Void> json = parser.accepts("json", "print one JSON object");
+    OptionSpec<Void> recordHeap =
+        parser.accepts("record-heap", "only measure the heap of all records in one node");
     OptionSet options = parser.parse(args);
+    if (options.has(recordHeap)) {
+      printRecordHeap(options.valueOf(members));
+      return;
+    }
     MembershipExperiment experiment =
         new MembershipExperiment(
             MembershipSettings.DEFAULTS,
@@ -46,6 +52,18 @@
     }
   }
 
+  private static void printRecordHeap(int members) {
+    try {
+      System.out.println(
+          new JsonObject()
+              .put("members", members)
+              .put("record_heap_bytes", RecordHeap.measure(members))
+              .encode());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Returns the bytes of a frame, without those of TCP and IP. */
   static int wireBytes(MembershipPacket packet) {
     return FRAME_LENGTH_BYTES + CODECS.encode(new MembershipMessage(packet)).length;
--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/membership/RecordHeap.java
@@ -0,0 +1,91 @@
+package org.acaciapond.bench.membership;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.acaciapond.membership.Member;
+import org.acaciapond.membership.MemberState;
+import org.acaciapond.membership.MembershipBody;
+import org.acaciapond.membership.MembershipPacket;
+import org.acaciapond.membership.MembershipSettings;
+import org.acaciapond.membership.MembershipState;
+import org.acaciapond.membership.NodeAddress;
+import org.acaciapond.protocol.codec.CodecRegistry;
+import org.acaciapond.protocol.codec.MembershipMessageCodec;
+import org.acaciapond.protocol.message.MembershipMessage;
+
+/** Measurement of the heap that the records of a whole fleet take in one node. */
+final class RecordHeap {
+
+  private static final CodecRegistry CODECS =
+      new CodecRegistry(List.of(new MembershipMessageCodec()));
+  private static final int COLLECTIONS = 4;
+  private static final long COLLECTION_PAUSE_MS = 50;
+  private static final int SERVICES = 520;
+  private static final int DOMAINS = 6;
+
+  private RecordHeap() {}
+
+  /**
+   * Returns the bytes of heap that one more state with a number of members takes. The first state
+   * is kept, so that what is loaded once is not counted.
+   */
+  static long measure(int members) throws InterruptedException {
+    MembershipState first = fill(members);
+    long before = usedBytes();
+    MembershipState second = fill(members);
+    long after = usedBytes();
+    if (first.members().size() != members || second.members().size() != members) {
+      throw new IllegalStateException("not all members were taken");
+    }
+    return after - before;
+  }
+
+  private static MembershipState fill(int members) {
+    MembershipState state =
+        new MembershipState(
+            MembershipSettings.DEFAULTS, member(0), List.of(), new SplittableRandom(1), 0);
+    for (int i = 1; i < members; i++) {
+      take(state, member(i));
+    }
+    state.tick(MembershipState.TICK_INTERVAL_MS);
+    return state;
+  }
+
+  /** Takes a record as it comes off the wire, so that no string is shared with the sender. */
+  private static void take(MembershipState state, Member member) {
+    MembershipPacket packet =
+        new MembershipPacket(
+            member.hostId(),
+            member.incarnation(),
+            NodeAddress.of(member),
+            new MembershipBody.Updates(),
+            List.of(member),
+            List.of());
+    byte[] payload = CODECS.encode(new MembershipMessage(packet));
+    MembershipMessage decoded = (MembershipMessage) CODECS.decode(payload);
+    state.onMessage(1, decoded.packet().sender(), decoded.packet());
+  }
+
+  private static Member member(int number) {
+    return new Member(
+        "host-" + number,
+        1_700_000_000_000L + number,
+        "10.0." + number / 250 + "." + number % 250,
+        7_000,
+        7_001,
+        "domain-" + number % DOMAINS,
+        "region",
+        "service-" + number % SERVICES,
+        "v1",
+        1,
+        MemberState.ALIVE);
+  }
+
+  private static long usedBytes() throws InterruptedException {
+    for (int i = 0; i < COLLECTIONS; i++) {
+      System.gc();
+      Thread.sleep(COLLECTION_PAUSE_MS);
+    }
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
+}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
@@ -67,6 +67,7 @@
   private final long drainDelayMs;
   private final SplittableRandom random;
   private final List<Consumer<GossipEntry>> earlyListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<MembershipEvent>> eventListeners = new CopyOnWriteArrayList<>();
   private final List<GossipEntry> earlyEntries = new CopyOnWriteArrayList<>();
   private volatile @Nullable Running running;
   private volatile Map<String, List<TargetEndpoint>> targets = Map.of();
@@ -208,6 +209,7 @@
         run.links().send(send.to(), send.packet(), nowMs);
       } else if (action instanceof MembershipAction.Notify notify) {
         LOG.info("Membership: {}", notify.event());
+        eventListeners.forEach(listener -> listener.accept(notify.event()));
         if (notify.event() == MembershipEvent.CATCH_UP_REQUIRED) {
           catchUpFromMs = nowMs;
         }
@@ -294,6 +296,14 @@
     return run == null ? before.get() : read.apply(run.state());
   }
 
+  /**
+   * Registers a listener of changes of the own standing. A holder of a lease must check it at the
+   * table after {@link MembershipEvent#CATCH_UP_REQUIRED}.
+   */
+  public void addEventListener(Consumer<MembershipEvent> listener) {
+    eventListeners.add(listener);
+  }
+
   /** Returns whether the state of another node was received since the start. */
   public boolean isJoined() {
     return fromState(MembershipState::isJoined, () -> false);
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipSettingDescriptors.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipSettingDescriptors.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.acaciapond.common.settings.SettingDescriptor;
 import org.acaciapond.common.settings.Settings;
+import org.acaciapond.common.settings.SettingsErrorCode;
+import org.acaciapond.common.settings.SettingsException;
 import org.acaciapond.protocol.transport.TlsFiles;
 import org.acaciapond.protocol.transport.TransportOptions;
 import org.jspecify.annotations.Nullable;
@@ -71,7 +73,10 @@
       return null;
     }
     if (unset > 0) {
-      throw new IllegalArgumentException("TLS between nodes needs key, certificate and trust");
+      throw new SettingsException(
+          SettingsErrorCode.SETTINGS_INVALID,
+          "TLS between nodes needs key, certificate and trust",
+          null);
     }
     return files;
   }
