--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.acaciapond.bench.calls.CallsCommand;
+import org.acaciapond.bench.membership.MembershipCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
 /** Entry point of the binary {@code acaciapond-bench}; exits 2 on wrong options. */
@@ -22,7 +23,11 @@
     if (command.equals("calls")) {
       System.exit(CallsCommand.run(rest));
     }
-    System.err.println("usage: acaciapond-bench target|calls [options]");
+    if (command.equals("membership")) {
+      MembershipCommand.run(rest);
+      return;
+    }
+    System.err.println("usage: acaciapond-bench target|calls|membership [options]");
     System.exit(EXIT_BAD_INPUT);
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -1,7 +1,9 @@
 package org.acaciapond.node;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.acaciapond.common.settings.SettingDescriptor;
+import org.acaciapond.node.membership.MembershipSettingDescriptors;
 import org.acaciapond.node.proxy.RequestPathSettings;
 import org.acaciapond.node.telemetry.TelemetrySettings;
 
@@ -57,34 +59,27 @@
       SettingDescriptor.integer(
           "poll_interval_ms", "Interval between reads of the head.", 500L, 50, 60_000);
 
-  /** Interval between announcements. */
-  public static final SettingDescriptor<Long> ANNOUNCE_INTERVAL_MS =
-      SettingDescriptor.integer(
-          "announce_interval_ms",
-          "Interval between announcements to other nodes.",
-          1_000L,
-          50,
-          60_000);
-
   /** All settings of a node. */
   public static final List<SettingDescriptor<?>> ALL =
-      List.of(
-          HOST_ID,
-          SERVICE,
-          FAILURE_DOMAIN,
-          REGION,
-          IP,
-          OUTBOUND_PORT,
-          INBOUND_PORT,
-          PEER_PORT,
-          ADMIN_PORT,
-          SEEDS,
-          PLATFORM,
-          POLL_INTERVAL_MS,
-          ANNOUNCE_INTERVAL_MS,
-          RequestPathSettings.EVENT_LOOPS,
-          RequestPathSettings.DRAIN_DELAY_MS,
-          TelemetrySettings.TRACES_PER_MILLION);
+      Stream.of(
+              List.of(
+                  HOST_ID,
+                  SERVICE,
+                  FAILURE_DOMAIN,
+                  REGION,
+                  IP,
+                  OUTBOUND_PORT,
+                  INBOUND_PORT,
+                  PEER_PORT,
+                  ADMIN_PORT,
+                  SEEDS,
+                  PLATFORM,
+                  POLL_INTERVAL_MS),
+              RequestPathSettings.ALL,
+              TelemetrySettings.ALL,
+              MembershipSettingDescriptors.ALL)
+          .<SettingDescriptor<?>>flatMap(List::stream)
+          .toList();
 
   private NodeSettings() {}
 
