--- /dev/null
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/package-info.java
@@ -0,0 +1,5 @@
+/** Sequential comparison of the new version with the old one. */
+@NullMarked
+package org.acaciapond.rollout.judgement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutEvent.java
@@ -0,0 +1,32 @@
+package org.acaciapond.rollout.state;
+
+import java.time.Instant;
+import org.acaciapond.rollout.judgement.Verdict;
+
+/** What the controller is told. */
+public sealed interface RolloutEvent {
+
+  /** Time passed; carries the present judgement and the number of new targets that are ready. */
+  record Tick(Instant now, Verdict verdict, int readyTargets) implements RolloutEvent {}
+
+  /** The lease was won or renewed with this epoch. */
+  record LeaseHeld(long epoch) implements RolloutEvent {}
+
+  /** The lease ended. */
+  record LeaseLost() implements RolloutEvent {}
+
+  /** The row as read from the table, at this revision. */
+  record RowRead(RolloutRow row, long revision) implements RolloutEvent {}
+
+  /** The outstanding write took effect. */
+  record WriteApplied(long revision) implements RolloutEvent {}
+
+  /** The outstanding write was refused or its fate is unknown. */
+  record WriteFailed() implements RolloutEvent {}
+
+  /** A taken-back fact arrived. */
+  record FactSeen(TakenBack fact) implements RolloutEvent {}
+
+  /** The old version has no targets left, so the comparison ends. */
+  record OldGone() implements RolloutEvent {}
+}
