--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package org.acaciapond.bench;
 
 import java.util.Arrays;
+import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
 /** Entry point of the binary {@code acaciapond-bench}; exits 2 on wrong options. */
@@ -18,7 +19,11 @@
       TargetCommand.run(rest);
       return;
     }
-    System.err.println("usage: acaciapond-bench target [options]");
+    if (command.equals("rollout")) {
+      RolloutCommand.run(rest);
+      return;
+    }
+    System.err.println("usage: acaciapond-bench target|rollout [options]");
     System.exit(EXIT_BAD_INPUT);
   }
 }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
@@ -39,6 +39,7 @@
   private long latest = Long.MIN_VALUE;
   private double windowWorst = Double.NEGATIVE_INFINITY;
   private Verdict verdict = Verdict.NONE;
+  private boolean changed;
 
   /** First interval in which a witness reported a grant. */
   private record GrantSeen(long number, long interval) {}
@@ -70,6 +71,11 @@
     if (verdict.condemned()) {
       return verdict;
     }
+    if (!changed) {
+      verdict = verdict.withCalls(newCalls);
+      return verdict;
+    }
+    changed = false;
     Verdict worst = new Verdict(false, false, newCalls, Double.NEGATIVE_INFINITY, "");
     double togetherLimit = limit(2.0 * Metric.values().length);
     worst = worse(worst, ALL_ROUTES, together, togetherLimit);
@@ -131,6 +137,7 @@
     }
     if (block.comparable()) {
       double[] scores = score(block, route.baseline, ledger.baseline);
+      changed = true;
       ledger.add(scores);
       together.ledger(witness, marks.size()).add(scores);
     }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
@@ -1,5 +1,6 @@
 package org.acaciapond.rollout.judgement;
 
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -10,6 +11,8 @@
   private static final int MAX_WITNESSES = 512;
   // A witness below this value contradicts the others and may be sick itself.
   private static final double CONTRADICTION_NATS = -8;
+  // Evidence this weak adds nothing to a mixture, so the costly part is skipped.
+  private static final double NEGLIGIBLE_NATS = -15;
 
   final Baseline baseline = new Baseline();
   private final Map<String, Ledger> ledgers = new LinkedHashMap<>();
@@ -43,10 +46,16 @@
   Trimmed trimmed(int mark, int index, int limit) {
     double[] values = new double[ledgers.size()];
     int size = 0;
+    double most = 0;
     for (Ledger ledger : ledgers.values()) {
-      values[size++] = ledger.since(mark, index);
+      double value = ledger.since(mark, index);
+      values[size++] = value;
+      most += value < CONTRADICTION_NATS ? 0 : value;
     }
-    java.util.Arrays.sort(values);
+    if (most < NEGLIGIBLE_NATS) {
+      return new Trimmed(most, most);
+    }
+    Arrays.sort(values);
     double top = 0;
     for (int i = size - limit; i < size; i++) {
       top += Math.max(0, values[i]);
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Verdict.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Verdict.java
@@ -14,4 +14,9 @@
 
   /** Judgement without any evidence. */
   public static final Verdict NONE = new Verdict(false, false, 0, 0, "no evidence yet");
+
+  /** Returns the same judgement after more calls. */
+  public Verdict withCalls(long calls) {
+    return new Verdict(condemned, suspicious, calls, logEvidence, reason);
+  }
 }
