--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutCommand.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.File;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -20,7 +19,7 @@
 
   private final OptionParser parser = new OptionParser();
   private final OptionSpec<File> cases =
-      parser.accepts("cases", "case file").withRequiredArg().ofType(File.class);
+      parser.accepts("cases", "case file; may be repeated").withRequiredArg().ofType(File.class);
   private final OptionSpec<Integer> random =
       parser
           .accepts("random", "number of random cases instead of a file")
@@ -82,8 +81,11 @@
     if (!options.has(cases)) {
       throw new IOException("--cases FILE is required");
     }
-    Path file = options.valueOf(cases).toPath();
-    return CaseFile.read(file);
+    List<RolloutCase> all = new ArrayList<>();
+    for (File file : options.valuesOf(cases)) {
+      all.addAll(CaseFile.read(file.toPath()));
+    }
+    return all;
   }
 
   static List<RolloutReport.CaseResults> runAll(
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
@@ -18,7 +18,7 @@
   private static final String ALL_ROUTES = "all routes";
   private static final String OTHER_ROUTES = "other routes";
   private static final int MAX_ROUTES = 32;
-  private static final int MAX_MARKS = 24;
+  private static final int MAX_MARKS = 16;
   private static final int BLOCK_INTERVALS = 5;
   private static final int BLOCK_CALLS = 256;
   private static final double SLOW_SHARE = 0.25;
@@ -26,6 +26,12 @@
   // Half the false alarms are spent on the first start point, the rest on 100 later ones.
   private static final double FIRST_WEIGHT = Math.log(0.5);
   private static final double LATER_WEIGHT = Math.log(0.5 / 100);
+  // A term this small changes no decision, even if all terms of a mixture were as large.
+  private static final double NEGLIGIBLE_NATS = -9;
+  private static final double MAX_NATS = 600;
+  // A fault that all witnesses see leaves a third of the evidence without the strongest of them;
+  // with a lone accuser nothing is left, and it must not hold a rollout back.
+  private static final double DOUBT_RATIO = 3;
 
   private final JudgeSettings settings;
   private final String service;
@@ -44,6 +50,9 @@
   /** First interval in which a witness reported a grant. */
   private record GrantSeen(long number, long interval) {}
 
+  /** Log evidence that the version is bad, and the weaker kind that only delays raises. */
+  private record Weight(double proof, double doubt) {}
+
   /** Creates a judge of two versions of a service. */
   public RolloutJudge(
       JudgeSettings settings, String service, String oldVersion, String newVersion) {
@@ -193,11 +202,14 @@
   }
 
   private Verdict worse(Verdict worst, String name, RouteEvidence route, double limit) {
+    // Many routes show more chance signs, so each needs stronger ones to delay a raise.
+    double certain = limit(2.0 * Metric.values().length);
     Verdict result = worst;
     for (Metric metric : Metric.values()) {
-      double evidence = evidence(route, metric);
+      Weight weight = evidence(route, metric);
+      double evidence = weight.proof();
       boolean condemned = evidence >= limit;
-      boolean suspicious = evidence >= settings.holdNats();
+      boolean suspicious = weight.doubt() >= limit - certain + settings.holdNats();
       boolean stronger = evidence > result.logEvidence();
       String reason = stronger ? metric.complaint() + " on " + name : result.reason();
       result =
@@ -211,50 +223,59 @@
     return result;
   }
 
-  private double evidence(RouteEvidence route, Metric metric) {
+  private Weight evidence(RouteEvidence route, Metric metric) {
     return switch (settings.method()) {
       case MIXTURE_RATIO -> mixture(route, metric);
       case CONFIDENCE_SEQUENCE -> confidence(route, metric);
-      case FIXED_WINDOW -> windowWorst;
+      case FIXED_WINDOW -> new Weight(windowWorst, windowWorst);
     };
   }
 
-  private double mixture(RouteEvidence route, Metric metric) {
+  private Weight mixture(RouteEvidence route, Metric metric) {
     int first = Scores.FIRST[metric.ordinal()];
     int sizes = Scores.SIZES[metric.ordinal()];
     int sick = route.sickLimit(settings.sickWitnessShare());
-    double total = 0;
+    double proof = 0;
+    double doubt = 0;
     for (int mark = 0; mark < marks.size(); mark++) {
       double weight = (mark == 0 ? FIRST_WEIGHT : LATER_WEIGHT) - Math.log(sizes);
       for (int i = first; i < first + sizes; i++) {
-        total += Math.exp(Math.min(600, weight + agreed(route, mark, i, sick)));
+        RouteEvidence.Trimmed sum = route.trimmed(mark, i, sick, NEGLIGIBLE_NATS - weight);
+        proof += exp(weight + agreed(sum.all(), sum.withoutAccusers(), settings.agreementNats()));
+        doubt += exp(weight + doubted(sum.all(), sum.withoutAccusers()));
       }
     }
-    return Math.log(total);
+    return new Weight(Math.log(proof), Math.log(doubt));
   }
 
   // Caps the evidence of all witnesses when those without the strongest accusers do not agree.
-  private double agreed(RouteEvidence route, int mark, int index, int sick) {
-    if (sick == 0) {
-      return route.sum(mark, index);
-    }
-    RouteEvidence.Trimmed trimmed = route.trimmed(mark, index, sick);
-    double cap = Math.max(trimmed.withoutAccusers() + settings.agreementNats(), 0);
-    return Math.min(trimmed.all(), cap);
+  private static double agreed(double all, double withoutAccusers, double slack) {
+    return Math.min(all, Math.max(withoutAccusers + slack, 0));
+  }
+
+  private static double doubted(double all, double withoutAccusers) {
+    return Math.min(all, DOUBT_RATIO * Math.max(withoutAccusers, 0));
+  }
+
+  private static double exp(double nats) {
+    return Math.exp(Math.min(MAX_NATS, nats));
   }
 
-  private double confidence(RouteEvidence route, Metric metric) {
+  private Weight confidence(RouteEvidence route, Metric metric) {
     int index = Scores.excessIndex(metric);
     int sick = route.sickLimit(settings.sickWitnessShare());
-    double total = 0;
+    double proof = 0;
+    double doubt = 0;
     for (int mark = 0; mark < marks.size(); mark++) {
       double weight = mark == 0 ? FIRST_WEIGHT : LATER_WEIGHT;
       double variance = route.sum(mark, index + 1);
-      double all = HalfNormal.log(route.sum(mark, index), variance);
-      double rest = HalfNormal.log(route.trimmed(mark, index, sick).withoutAccusers(), variance);
-      total += Math.exp(Math.min(600, weight + Math.min(all, rest + settings.agreementNats())));
+      RouteEvidence.Trimmed sum = route.trimmed(mark, index, sick, Double.NEGATIVE_INFINITY);
+      double all = HalfNormal.log(sum.all(), variance);
+      double rest = HalfNormal.log(sum.withoutAccusers(), variance);
+      proof += exp(weight + agreed(all, rest, settings.agreementNats()));
+      doubt += exp(weight + doubted(all, rest));
     }
-    return Math.log(total);
+    return new Weight(Math.log(proof), Math.log(doubt));
   }
 
   // The largest z value of the window, put on the scale of log evidence.
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
@@ -11,8 +11,6 @@
   private static final int MAX_WITNESSES = 512;
   // A witness below this value contradicts the others and may be sick itself.
   private static final double CONTRADICTION_NATS = -8;
-  // Evidence this weak adds nothing to a mixture, so the costly part is skipped.
-  private static final double NEGLIGIBLE_NATS = -15;
 
   final Baseline baseline = new Baseline();
   private final Map<String, Ledger> ledgers = new LinkedHashMap<>();
@@ -42,8 +40,11 @@
     return sum;
   }
 
-  /** Returns the sum without the highest values and without low ones that contradict the rest. */
-  Trimmed trimmed(int mark, int index, int limit) {
+  /**
+   * Returns the sum without the highest values and without low ones that contradict the rest. Sums
+   * below the negligible value are bounded only, which spares the sorting.
+   */
+  Trimmed trimmed(int mark, int index, int limit, double negligible) {
     double[] values = new double[ledgers.size()];
     int size = 0;
     double most = 0;
@@ -52,7 +53,7 @@
       values[size++] = value;
       most += value < CONTRADICTION_NATS ? 0 : value;
     }
-    if (most < NEGLIGIBLE_NATS) {
+    if (most < negligible) {
       return new Trimmed(most, most);
     }
     Arrays.sort(values);
