--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -1,8 +1,12 @@
 package org.acaciapond.bench;
 
 import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.acaciapond.bench.calls.CallsCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
+import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
 /** Entry point of the binary {@code acaciapond-bench}; exits 2 on wrong options. */
@@ -10,24 +14,25 @@
 
   private static final int EXIT_BAD_INPUT = 2;
 
+  private static final Map<String, Consumer<String[]>> COMMANDS =
+      new TreeMap<>(
+          Map.of(
+              "target", TargetCommand::run,
+              "calls", args -> System.exit(CallsCommand.run(args)),
+              "membership", MembershipCommand::run,
+              "rollout", RolloutCommand::run));
+
   private BenchMain() {}
 
   /** Runs the experiment named by the first argument. */
-  public static void main(String[] args) throws Exception {
-    String command = args.length == 0 ? "" : args[0];
-    String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
-    if (command.equals("target")) {
-      TargetCommand.run(rest);
-      return;
-    }
-    if (command.equals("calls")) {
-      System.exit(CallsCommand.run(rest));
-    }
-    if (command.equals("membership")) {
-      MembershipCommand.run(rest);
+  public static void main(String[] args) {
+    Consumer<String[]> command = args.length == 0 ? null : COMMANDS.get(args[0]);
+    if (command == null) {
+      System.err.println(
+          "usage: acaciapond-bench " + String.join("|", COMMANDS.keySet()) + " [options]");
+      System.exit(EXIT_BAD_INPUT);
       return;
     }
-    System.err.println("usage: acaciapond-bench target|calls|membership [options]");
-    System.exit(EXIT_BAD_INPUT);
+    command.accept(Arrays.copyOfRange(args, 1, args.length));
   }
 }
