--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/Policy.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/Policy.java
@@ -7,7 +7,9 @@
 import org.acaciapond.rollout.judgement.TestMethod;
 import org.acaciapond.rollout.pace.PaceSettings;
 
-/** Way of deciding a rollout: the product's, the baseline, and the product without one mechanism. */
+/**
+ * Way of deciding a rollout: the product's, the baseline, and the product without one mechanism.
+ */
 enum Policy {
   STANDARD(UnaryOperator.identity(), PaceSettings.DEFAULTS),
   FIXED_SCHEDULE(UnaryOperator.identity(), PaceSettings.DEFAULTS),
