--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import org.acaciapond.bench.calls.CallsCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
 import org.acaciapond.bench.rollout.RolloutCommand;
@@ -14,7 +13,7 @@
 
   private static final int EXIT_BAD_INPUT = 2;
 
-  private static final Map<String, Consumer<String[]>> COMMANDS =
+  private static final Map<String, BenchCommand> COMMANDS =
       new TreeMap<>(
           Map.of(
               "target", TargetCommand::run,
@@ -22,17 +21,25 @@
               "membership", MembershipCommand::run,
               "rollout", RolloutCommand::run));
 
+  /** One experiment. */
+  @FunctionalInterface
+  private interface BenchCommand {
+
+    /** Runs the experiment with the arguments after its name. */
+    void run(String[] args) throws Exception;
+  }
+
   private BenchMain() {}
 
   /** Runs the experiment named by the first argument. */
-  public static void main(String[] args) {
-    Consumer<String[]> command = args.length == 0 ? null : COMMANDS.get(args[0]);
+  public static void main(String[] args) throws Exception {
+    BenchCommand command = args.length == 0 ? null : COMMANDS.get(args[0]);
     if (command == null) {
       System.err.println(
           "usage: acaciapond-bench " + String.join("|", COMMANDS.keySet()) + " [options]");
       System.exit(EXIT_BAD_INPUT);
       return;
     }
-    command.accept(Arrays.copyOfRange(args, 1, args.length));
+    command.run(Arrays.copyOfRange(args, 1, args.length));
   }
 }
