Keep source packages named target in version control

Cause: the ignore rule target/ also matched the source packages org.acaciapond.routing.target and org.acaciapond.bench.target, so a fresh worktree did not compile.

--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/target/TargetCommand.java
@@ -0,0 +1,56 @@
+package org.acaciapond.bench.target;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.ThreadLocalRandom;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Command that runs a small HTTP target and announces it to the node of its host. */
+public final class TargetCommand {
+
+  private static final int SERVER_ERROR = 500;
+
+  private TargetCommand() {}
+
+  /** Runs the target until the process is ended. */
+  public static void run(String[] args) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<Integer> port = integer(parser, "port", 0);
+    OptionSpec<Integer> adminPort = integer(parser, "admin-port", 0);
+    OptionSpec<Integer> errorPercent = integer(parser, "error-percent", 0);
+    OptionSpec<String> version = parser.accepts("version").withRequiredArg().defaultsTo("v1");
+    OptionSet options = parser.parse(args);
+    Vertx vertx = Vertx.vertx();
+    int errors = options.valueOf(errorPercent);
+    String name = options.valueOf(version);
+    vertx
+        .createHttpServer()
+        .requestHandler(request -> answer(request, name, errors))
+        .listen(options.valueOf(port), "127.0.0.1")
+        .compose(server -> announce(vertx, options.valueOf(adminPort), name, server.actualPort()))
+        .onFailure(error -> System.exit(1));
+  }
+
+  private static OptionSpec<Integer> integer(OptionParser parser, String name, int defaultValue) {
+    return parser.accepts(name).withRequiredArg().ofType(Integer.class).defaultsTo(defaultValue);
+  }
+
+  private static void answer(HttpServerRequest request, String version, int errorPercent) {
+    boolean fail = ThreadLocalRandom.current().nextInt(100) < errorPercent;
+    request.response().setStatusCode(fail ? SERVER_ERROR : 200).end(version + "\n");
+  }
+
+  private static io.vertx.core.Future<Void> announce(
+      Vertx vertx, int adminPort, String version, int port) {
+    return vertx
+        .createHttpClient()
+        .request(io.vertx.core.http.HttpMethod.PUT, adminPort, "127.0.0.1", "/target")
+        .compose(
+            request ->
+                request.send(new JsonObject().put("version", version).put("port", port).toBuffer()))
+        .mapEmpty();
+  }
+}
