Give the platform stand-in limits, faults, counters and input checks

Cause: the stand-in accepted any write rate, stored objects under any digest, answered malformed conditions with 500 and could not be made to fail. It now limits reads and writes (429 with Retry-After), checks digests, bounds bodies and keys, answers malformed requests with 400 and takes faults per store over PUT /faults. /faults and /stats are subject to neither limits nor faults.

--- a/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformMain.java
+++ b/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformMain.java
@@ -6,6 +6,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.acaciapond.common.time.TimeSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -29,17 +30,32 @@
             .withRequiredArg()
             .ofType(Integer.class)
             .defaultsTo(DEFAULT_PORT);
+    OptionSpec<Long> writes =
+        parser
+            .accepts("writes-per-s", "writes admitted per second")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(PlatformLimits.DEFAULT.writesPerSecond());
+    OptionSpec<Long> reads =
+        parser
+            .accepts("reads-per-s", "reads admitted per second")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(PlatformLimits.DEFAULT.readsPerSecond());
     OptionSet options;
+    PlatformLimits limits;
     try {
       options = parser.parse(args);
-    } catch (OptionException e) {
+      limits = new PlatformLimits(options.valueOf(writes), options.valueOf(reads));
+    } catch (OptionException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       parser.printHelpOn(System.err);
       System.exit(EXIT_BAD_INPUT);
       return;
     }
     PlatformServer server =
-        new PlatformServer(Vertx.vertx(), options.valueOf(ip), options.valueOf(port));
+        new PlatformServer(
+            Vertx.vertx(), TimeSource.system(), options.valueOf(ip), options.valueOf(port), limits);
     server.start().await().indefinitely();
     LOG.info("Platform stand-in is listening on port {}", server.port());
   }
--- a/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformServer.java
+++ b/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformServer.java
@@ -5,38 +5,115 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.OptionalLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
 import org.jspecify.annotations.Nullable;
 
-/** HTTP server of the stand-in. */
+/**
+ * HTTP server of the stand-in.
+ *
+ * <p>Limits apply before faults, and faults before the work; {@code /faults} and {@code /stats} are
+ * subject to neither.
+ */
 public final class PlatformServer implements ManagedService {
 
-  private static final long MAX_BODY_BYTES = 16L * 1024 * 1024;
+  private static final long MAX_ROW_BYTES = 64L * 1024;
+  private static final long MAX_OBJECT_BYTES = 16L * 1024 * 1024;
+  private static final long MAX_FAULTS_BYTES = 4L * 1024;
+  private static final int MAX_KEY_CHARS = 256;
+  private static final int OK = 200;
+  private static final int CREATED = 201;
+  private static final int NO_CONTENT = 204;
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int PRECONDITION_FAILED = 412;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+  private static final String RETRY_AFTER_SECONDS = "1";
+  private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+  private static final Pattern ENTITY_TAG = Pattern.compile("\"([1-9][0-9]{0,17})\"");
 
+  /** Work of a request, done unless a limit or a fault prevents it. */
+  private interface Operation {
+    Answer run(RoutingContext context);
+  }
+
+  /** Answer of an operation. */
+  private record Answer(int status, @Nullable String entityTag, Buffer body) {
+
+    static Answer of(int status) {
+      return new Answer(status, null, Buffer.buffer());
+    }
+  }
+
+  private final Vertx vertx;
   private final TableStore table = new TableStore();
-  private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private final ObjectStore objects = new ObjectStore();
+  private final FaultInjector tableFaults = new FaultInjector();
+  private final FaultInjector objectFaults = new FaultInjector();
+  private final PlatformStats stats = new PlatformStats();
+  private final RateLimiter readLimiter;
+  private final RateLimiter writeLimiter;
   private final HttpServer server;
 
-  /** Creates a server. */
+  /** Creates a server with the default limits. */
   public PlatformServer(Vertx vertx, String ip, int port) {
-    Router router = Router.router(vertx);
-    router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
-    router.get("/table").handler(this::listRows);
-    router.get("/table/:key").handler(this::readRow);
-    router.put("/table/:key").handler(this::writeRow);
-    router.get("/objects/:digest").handler(this::readObject);
-    router.put("/objects/:digest").handler(this::writeObject);
+    this(vertx, TimeSource.system(), ip, port, PlatformLimits.DEFAULT);
+  }
+
+  /** Creates a server. */
+  public PlatformServer(Vertx vertx, TimeSource time, String ip, int port, PlatformLimits limits) {
+    this.vertx = vertx;
+    this.readLimiter = new RateLimiter(time, limits.readsPerSecond());
+    this.writeLimiter = new RateLimiter(time, limits.writesPerSecond());
     this.server =
         vertx
             .createHttpServer(new HttpServerOptions().setHost(ip).setPort(port))
-            .requestHandler(router);
+            .requestHandler(createRouter());
+  }
+
+  private Router createRouter() {
+    Router router = Router.router(vertx);
+    router.route().failureHandler(PlatformServer::answerFailure);
+    router.get("/table").handler(context -> read(context, tableFaults, this::listRows));
+    router.get("/table/:key").handler(context -> read(context, tableFaults, this::readRow));
+    router
+        .put("/table/:key")
+        .handler(body(MAX_ROW_BYTES))
+        .handler(context -> write(context, tableFaults, this::writeRow));
+    router
+        .get("/objects/:digest")
+        .handler(context -> read(context, objectFaults, this::readObject));
+    router
+        .put("/objects/:digest")
+        .handler(body(MAX_OBJECT_BYTES))
+        .handler(context -> write(context, objectFaults, this::writeObject));
+    router.get("/stats").handler(context -> context.response().end(stats.toJson().toBuffer()));
+    router.get("/faults").handler(this::readFaults);
+    router.put("/faults").handler(body(MAX_FAULTS_BYTES)).handler(this::writeFaults);
+    return router;
+  }
+
+  /** Answers a request that a handler rejected, such as one whose body is over the limit. */
+  private static void answerFailure(RoutingContext context) {
+    int status = context.statusCode();
+    boolean malformed = status < BAD_REQUEST || context.failure() instanceof RuntimeException;
+    if (!context.response().ended()) {
+      context.response().setStatusCode(malformed ? BAD_REQUEST : status).end();
+    }
+  }
+
+  private static BodyHandler body(long limitBytes) {
+    return BodyHandler.create(false).setBodyLimit(limitBytes);
   }
 
   @Override
@@ -56,56 +133,173 @@
     return server.actualPort();
   }
 
-  private void listRows(RoutingContext context) {
-    JsonArray rows = new JsonArray();
+  /** Returns the counters. */
+  public PlatformStats stats() {
+    return stats;
+  }
+
+  private void read(RoutingContext context, FaultInjector faults, Operation operation) {
+    if (readLimiter.tryAcquire()) {
+      stats.countRead();
+      runWithFault(context, faults.draw(), operation);
+    } else {
+      refuse(context);
+    }
+  }
+
+  private void write(RoutingContext context, FaultInjector faults, Operation operation) {
+    if (writeLimiter.tryAcquire()) {
+      stats.countWrite();
+      runWithFault(context, faults.draw(), operation);
+    } else {
+      refuse(context);
+    }
+  }
+
+  private void refuse(RoutingContext context) {
+    stats.countRefused();
+    context
+        .response()
+        .setStatusCode(TOO_MANY_REQUESTS)
+        .putHeader("Retry-After", RETRY_AFTER_SECONDS)
+        .end();
+  }
+
+  private void runWithFault(RoutingContext context, FaultPlan fault, Operation operation) {
+    switch (fault.mode()) {
+      case DOWN -> context.response().setStatusCode(UNAVAILABLE).end();
+      case SLOW -> after(fault.delayMs(), () -> answer(context, operation.run(context)));
+      case LOSE_ANSWERS -> {
+        operation.run(context);
+        after(fault.delayMs(), () -> context.request().connection().close());
+      }
+      default -> answer(context, operation.run(context));
+    }
+  }
+
+  private void after(long delayMs, Runnable work) {
+    if (delayMs == 0) {
+      work.run();
+    } else {
+      vertx.setTimer(delayMs, id -> work.run());
+    }
+  }
+
+  private static void answer(RoutingContext context, Answer answer) {
+    if (context.response().closed()) {
+      return;
+    }
+    if (answer.entityTag() != null) {
+      context.response().putHeader("ETag", answer.entityTag());
+    }
+    context.response().setStatusCode(answer.status()).end(answer.body());
+  }
+
+  private Answer listRows(RoutingContext context) {
     String prefix = context.queryParams().get("prefix");
-    table
-        .list(prefix == null ? "" : prefix)
-        .forEach(
-            (key, cell) ->
-                rows.add(
-                    new JsonObject()
-                        .put("key", key)
-                        .put("revision", cell.revision())
-                        .put("value", cell.value())));
-    context.response().end(rows.toBuffer());
-  }
-
-  private void readRow(RoutingContext context) {
-    table
+    if (prefix != null && prefix.length() > MAX_KEY_CHARS) {
+      return Answer.of(BAD_REQUEST);
+    }
+    JsonArray rows = new JsonArray();
+    table.list(prefix == null ? "" : prefix).forEach((key, cell) -> rows.add(toJson(key, cell)));
+    return new Answer(OK, null, rows.toBuffer());
+  }
+
+  private static JsonObject toJson(String key, TableStore.Cell cell) {
+    return new JsonObject()
+        .put("key", key)
+        .put("revision", cell.revision())
+        .put("value", cell.value());
+  }
+
+  private Answer readRow(RoutingContext context) {
+    return table
         .read(context.pathParam("key"))
-        .ifPresentOrElse(
-            cell ->
-                context
-                    .response()
-                    .putHeader("ETag", "\"" + cell.revision() + "\"")
-                    .end(Buffer.buffer(cell.value())),
-            () -> context.response().setStatusCode(404).end());
-  }
-
-  private void writeRow(RoutingContext context) {
-    @Nullable String match = context.request().getHeader("If-Match");
-    long expected = match == null ? 0 : Long.parseLong(match.replace("\"", ""));
-    long revision =
-        table.write(context.pathParam("key"), expected, context.body().buffer().getBytes());
+        .map(cell -> new Answer(OK, entityTag(cell.revision()), Buffer.buffer(cell.value())))
+        .orElse(Answer.of(NOT_FOUND));
+  }
+
+  private Answer writeRow(RoutingContext context) {
+    String key = context.pathParam("key");
+    OptionalLong expected = expectedRevision(context);
+    if (expected.isEmpty() || key.length() > MAX_KEY_CHARS) {
+      return Answer.of(BAD_REQUEST);
+    }
+    long revision = table.write(key, expected.getAsLong(), bodyBytes(context));
     if (revision == 0) {
-      context.response().setStatusCode(412).end();
-    } else {
-      context.response().setStatusCode(204).putHeader("ETag", "\"" + revision + "\"").end();
+      stats.countConflict();
+      return Answer.of(PRECONDITION_FAILED);
     }
+    return new Answer(NO_CONTENT, entityTag(revision), Buffer.buffer());
   }
 
-  private void readObject(RoutingContext context) {
-    byte[] bytes = objects.get(context.pathParam("digest"));
-    if (bytes == null) {
-      context.response().setStatusCode(404).end();
-    } else {
-      context.response().end(Buffer.buffer(bytes));
+  /** Returns the revision that a write names; empty unless there is exactly one valid condition. */
+  private static OptionalLong expectedRevision(RoutingContext context) {
+    String match = context.request().getHeader("If-Match");
+    String noneMatch = context.request().getHeader("If-None-Match");
+    if (match == null && "*".equals(noneMatch)) {
+      return OptionalLong.of(0);
+    }
+    if (match == null || noneMatch != null) {
+      return OptionalLong.empty();
+    }
+    Matcher tag = ENTITY_TAG.matcher(match);
+    return tag.matches() ? OptionalLong.of(Long.parseLong(tag.group(1))) : OptionalLong.empty();
+  }
+
+  private static String entityTag(long revision) {
+    return "\"" + revision + "\"";
+  }
+
+  private static byte[] bodyBytes(RoutingContext context) {
+    Buffer body = context.body().buffer();
+    return body == null ? new byte[0] : body.getBytes();
+  }
+
+  private Answer readObject(RoutingContext context) {
+    String digest = context.pathParam("digest");
+    if (!DIGEST.matcher(digest).matches()) {
+      return Answer.of(BAD_REQUEST);
     }
+    return objects
+        .read(digest)
+        .map(bytes -> new Answer(OK, null, Buffer.buffer(bytes)))
+        .orElse(Answer.of(NOT_FOUND));
+  }
+
+  private Answer writeObject(RoutingContext context) {
+    boolean stored = objects.write(context.pathParam("digest"), bodyBytes(context));
+    return Answer.of(stored ? CREATED : BAD_REQUEST);
+  }
+
+  private void readFaults(RoutingContext context) {
+    context
+        .response()
+        .end(
+            new JsonObject()
+                .put("table", tableFaults.plan().toJson())
+                .put("objects", objectFaults.plan().toJson())
+                .toBuffer());
   }
 
-  private void writeObject(RoutingContext context) {
-    objects.putIfAbsent(context.pathParam("digest"), context.body().buffer().getBytes());
-    context.response().setStatusCode(201).end();
+  /** Sets the fault of the store that the field {@code store} names, or of both without it. */
+  private void writeFaults(RoutingContext context) {
+    try {
+      JsonObject json = new JsonObject(Buffer.buffer(bodyBytes(context)));
+      FaultPlan plan = FaultPlan.ofJson(json);
+      String store = json.getString("store", "all");
+      switch (store) {
+        case "table" -> tableFaults.set(plan);
+        case "objects" -> objectFaults.set(plan);
+        case "all" -> {
+          tableFaults.set(plan);
+          objectFaults.set(plan);
+        }
+        default -> throw new IllegalArgumentException("unknown store: " + store);
+      }
+      context.response().setStatusCode(NO_CONTENT).end();
+    } catch (DecodeException | IllegalArgumentException | ClassCastException e) {
+      context.response().setStatusCode(BAD_REQUEST).end(String.valueOf(e.getMessage()));
+    }
   }
 }
