--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/lease/LeaseClient.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/lease/LeaseClient.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.platform.client.PlatformClient;
 import org.acaciapond.platform.client.PlatformException;
@@ -25,6 +26,7 @@
   private final String holder;
   private final Duration duration;
   private volatile @Nullable Lease lease;
+  private final AtomicLong writes = new AtomicLong();
   private long observedRevision;
   private long observedAtNanos;
 
@@ -84,7 +86,7 @@
 
   private Uni<Optional<Lease>> write(long expectedRevision, long epoch) {
     long sentAtNanos = time.nanoTime();
-    byte[] value = new LeaseRow(holder, epoch, duration.toMillis()).encode();
+    byte[] value = encode(holder, epoch);
     return platform
         .writeRow(key, expectedRevision, value)
         .map(
@@ -99,6 +101,10 @@
             });
   }
 
+  private byte[] encode(String newHolder, long epoch) {
+    return new LeaseRow(newHolder, epoch, duration.toMillis(), writes.incrementAndGet()).encode();
+  }
+
   /**
    * Extends the lease; empty when another holder has it or none was held.
    *
@@ -140,7 +146,7 @@
     if (current == null) {
       return Uni.createFrom().voidItem();
     }
-    byte[] value = new LeaseRow("", current.epoch(), duration.toMillis()).encode();
+    byte[] value = encode("", current.epoch());
     return platform.writeRow(key, current.revision(), value).replaceWithVoid();
   }
 }
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/lease/LeaseRow.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/lease/LeaseRow.java
@@ -14,8 +14,14 @@
  * @param holder identity of the holder, or empty when the lease was released
  * @param epoch grows each time the lease changes hands
  * @param durationMs time without a new revision after which others may take it
+ * @param writeNumber number of the write among those of its holder; without it, a renewal whose
+ *     answer is lost could be taken for an earlier one and counted from a later time
  */
-public record LeaseRow(String holder, long epoch, @JsonProperty("duration_ms") long durationMs) {
+public record LeaseRow(
+    String holder,
+    long epoch,
+    @JsonProperty("duration_ms") long durationMs,
+    @JsonProperty("write_number") long writeNumber) {
 
   /** Encodes it as the value of the row. */
   public byte[] encode() {
