--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.acaciapond.bench.calls.CallsCommand;
+import org.acaciapond.bench.converge.ConvergeCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
 import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
@@ -18,6 +19,7 @@
           Map.of(
               "target", TargetCommand::run,
               "calls", args -> System.exit(CallsCommand.run(args)),
+              "converge", args -> System.exit(ConvergeCommand.run(args)),
               "membership", MembershipCommand::run,
               "rollout", RolloutCommand::run));
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -2,18 +2,27 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.random.RandomGenerator;
 import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.lifecycle.OrderedServices;
+import org.acaciapond.common.settings.SettingDescriptor;
 import org.acaciapond.common.settings.Settings;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.membership.GossipStore;
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MemberState;
+import org.acaciapond.membership.MembershipView;
 import org.acaciapond.membership.NodeAddress;
 import org.acaciapond.node.admin.AdminServer;
+import org.acaciapond.node.distribution.DistributionService;
+import org.acaciapond.node.distribution.DistributionSettings;
 import org.acaciapond.node.distribution.HeadPoller;
+import org.acaciapond.node.distribution.LocalGossipStore;
 import org.acaciapond.node.membership.LocalTarget;
 import org.acaciapond.node.membership.MembershipService;
 import org.acaciapond.node.membership.MembershipSettingDescriptors;
@@ -28,17 +37,25 @@
 import org.acaciapond.node.telemetry.RequestPathStatus;
 import org.acaciapond.node.telemetry.TelemetrySettings;
 import org.acaciapond.platform.client.HttpPlatformClient;
+import org.acaciapond.platform.client.PlatformCounters;
+import org.acaciapond.platform.client.RetryPolicy;
 import org.acaciapond.protocol.codec.CodecRegistry;
+import org.acaciapond.protocol.codec.DistributionCodecs;
 import org.acaciapond.protocol.codec.MembershipMessageCodec;
+import org.acaciapond.protocol.codec.MessageCodec;
+import org.acaciapond.protocol.message.MembershipMessage;
 import org.acaciapond.protocol.transport.PeerAddress;
 import org.acaciapond.protocol.transport.PeerConnection;
 import org.acaciapond.protocol.transport.PeerTransport;
+import org.acaciapond.protocol.transport.TransportCounters;
 import org.acaciapond.routing.target.VersionSplit;
+import org.jspecify.annotations.Nullable;
 
 /** Assembly of the services of one node. */
 public final class NodeProcess implements ManagedService {
 
-  private static final long PLATFORM_TIMEOUT_MS = 2_000;
+  /** All attempts end well before the 3 s of the poller lease, so that it can be renewed. */
+  private static final RetryPolicy PLATFORM_POLICY = new RetryPolicy(3, 900, 1_800, 50, 500);
 
   private final Settings settings;
   private final TimeSource time;
@@ -47,79 +64,138 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final RequestPathCounters requestPathCounters = new RequestPathCounters();
   private final PeerTransport transport;
+  private final HttpPlatformClient platform;
   private final MembershipService membership;
+  private final DistributionService distribution;
   private final InboundProxy inbound;
   private final OutboundProxy outbound;
   private final AdminServer admin;
-  private final List<ManagedService> services;
+  private final OrderedServices base;
+  private final OrderedServices control;
 
-  /** Creates a node. */
+  /** Creates a node that finds other nodes by its seeds. */
   public NodeProcess(Vertx vertx, Settings settings, TimeSource time) {
+    this(vertx, settings, time, null);
+  }
+
+  /**
+   * Creates a node.
+   *
+   * @param vertx event loops to use
+   * @param settings settings of the node
+   * @param time clock
+   * @param fixedMembers members of the mesh when they are given rather than found, or null
+   */
+  public NodeProcess(
+      Vertx vertx, Settings settings, TimeSource time, @Nullable MembershipView fixedMembers) {
     this.settings = settings;
     this.time = time;
-    String ownService = settings.get(NodeSettings.SERVICE);
-    this.holder = new SnapshotHolder(Snapshot.empty(ownService));
-    String ip = settings.get(NodeSettings.IP);
-    this.transport =
-        new PeerTransport(
-            vertx,
-            new CodecRegistry(List.of(new MembershipMessageCodec())),
-            new PeerAddress(ip, port(NodeSettings.PEER_PORT)),
-            this::acceptPeer,
-            MembershipSettingDescriptors.transportOptions(settings));
-    PeerAddress platformAddress = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
-    HttpPlatformClient platform =
-        new HttpPlatformClient(
-            vertx, platformAddress.ip(), platformAddress.port(), PLATFORM_TIMEOUT_MS);
-    final HeadPoller poller =
-        new HeadPoller(
-            vertx, platform, holder, ownService, settings.get(NodeSettings.POLL_INTERVAL_MS));
-    HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
+    this.holder = new SnapshotHolder(Snapshot.empty(settings.get(NodeSettings.SERVICE)));
+    this.transport = newTransport(vertx);
+    this.platform = newPlatformClient(vertx);
     RequestPathOptions requestPath = RequestPathOptions.of(settings);
-    this.inbound =
-        new InboundProxy(
-            vertx,
-            time,
-            holder,
-            localTarget,
-            ip,
-            port(NodeSettings.INBOUND_PORT),
-            requestPath,
-            requestPathCounters,
-            tracer);
-    this.membership =
-        new MembershipService(
-            vertx,
-            time,
-            transport,
-            this::selfRecord,
-            localTarget,
-            ownService,
-            seeds(),
-            platform,
-            () -> true,
-            settings.get(MembershipSettingDescriptors.SEEDS_INTERVAL_MS),
-            requestPath.drainDelayMs());
-    this.outbound =
-        new OutboundProxy(
-            vertx,
-            time,
-            holder,
-            membership,
-            service -> VersionSplit.only(service.currentVersion()),
-            metrics,
-            settings.get(NodeSettings.FAILURE_DOMAIN),
-            port(NodeSettings.OUTBOUND_PORT),
-            requestPath,
-            requestPathCounters,
-            tracer);
+    this.membership = newMembership(vertx, requestPath.drainDelayMs());
+    this.distribution =
+        fixedMembers == null
+            ? newDistribution(vertx, membership, membership)
+            : newDistribution(vertx, fixedMembers, new LocalGossipStore());
+    HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
+    this.outbound = newOutbound(vertx, requestPath, tracer);
+    this.inbound = newInbound(vertx, requestPath, tracer);
     RequestPathStatus status = new RequestPathStatus(holder, membership, outbound, inbound);
     this.admin =
         new AdminServer(
             vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT), metrics, status::addTo);
     addMetrics();
     // Stopped in reverse order: the own target may call others until its last call has ended.
-    this.services = List.of(transport, outbound, inbound, admin, poller, membership);
+    this.base = new OrderedServices(List.of(transport, outbound, inbound, admin));
+    ManagedService source = polls() ? newHeadPoller(vertx) : distribution;
+    this.control =
+        new OrderedServices(fixedMembers == null ? List.of(membership, source) : List.of(source));
+  }
+
+  private PeerTransport newTransport(Vertx vertx) {
+    List<MessageCodec<?>> codecs = new ArrayList<>(DistributionCodecs.ALL);
+    codecs.add(new MembershipMessageCodec());
+    return new PeerTransport(
+        vertx,
+        new CodecRegistry(codecs),
+        new PeerAddress(settings.get(NodeSettings.IP), port(NodeSettings.PEER_PORT)),
+        this::acceptPeer,
+        MembershipSettingDescriptors.transportOptions(settings));
+  }
+
+  private HttpPlatformClient newPlatformClient(Vertx vertx) {
+    PeerAddress address = PeerAddress.parse(settings.get(NodeSettings.PLATFORM));
+    return new HttpPlatformClient(
+        vertx, address.ip(), address.port(), PLATFORM_POLICY, time, newRandom());
+  }
+
+  private MembershipService newMembership(Vertx vertx, long drainDelayMs) {
+    return new MembershipService(
+        vertx,
+        time,
+        transport,
+        this::selfRecord,
+        localTarget,
+        settings.get(NodeSettings.SERVICE),
+        seeds(),
+        platform,
+        this::hasCaughtUp,
+        settings.get(MembershipSettingDescriptors.SEEDS_INTERVAL_MS),
+        drainDelayMs);
+  }
+
+  private DistributionService newDistribution(
+      Vertx vertx, MembershipView members, GossipStore gossip) {
+    return new DistributionService(
+        vertx,
+        time,
+        newRandom(),
+        transport,
+        members,
+        gossip,
+        platform,
+        holder,
+        settings.get(NodeSettings.SERVICE),
+        settings.get(NodeSettings.POLL_INTERVAL_MS));
+  }
+
+  private HeadPoller newHeadPoller(Vertx vertx) {
+    return new HeadPoller(
+        vertx,
+        platform,
+        holder,
+        settings.get(NodeSettings.SERVICE),
+        settings.get(NodeSettings.POLL_INTERVAL_MS));
+  }
+
+  private OutboundProxy newOutbound(Vertx vertx, RequestPathOptions options, HopTracer tracer) {
+    return new OutboundProxy(
+        vertx,
+        time,
+        holder,
+        membership,
+        service -> VersionSplit.only(service.currentVersion()),
+        metrics,
+        settings.get(NodeSettings.FAILURE_DOMAIN),
+        port(NodeSettings.OUTBOUND_PORT),
+        options,
+        requestPathCounters,
+        tracer);
+  }
+
+  private InboundProxy newInbound(Vertx vertx, RequestPathOptions options, HopTracer tracer) {
+    return new InboundProxy(
+        vertx,
+        time,
+        holder,
+        localTarget,
+        settings.get(NodeSettings.IP),
+        port(NodeSettings.INBOUND_PORT),
+        options,
+        requestPathCounters,
+        tracer);
   }
 
   private static HopTracer newTracer(long perMillion) {
@@ -128,6 +204,10 @@
         : new OpenTelemetryHopTracer(perMillion, JsonLinesSpanSink.toLog());
   }
 
+  private static RandomGenerator newRandom() {
+    return RandomGenerator.of("L64X128MixRandom");
+  }
+
   private void addMetrics() {
     metrics.addRequestPath(requestPathCounters);
     metrics.addAdmission(inbound.admission());
@@ -136,11 +216,27 @@
     metrics.addTransport(transport.counters());
   }
 
+  private boolean polls() {
+    return settings.get(DistributionSettings.DISTRIBUTION).equals(DistributionSettings.POLL);
+  }
+
+  private boolean hasCaughtUp() {
+    return polls() || distribution.hasCaughtUp();
+  }
+
   private void acceptPeer(PeerConnection connection) {
-    connection.onMessage(message -> membership.onMessage(connection, message));
+    connection.onMessage(
+        message -> {
+          if (message instanceof MembershipMessage) {
+            membership.onMessage(connection, message);
+          } else {
+            distribution.onMessage(connection, message);
+          }
+        });
+    connection.onClose(() -> distribution.onClose(connection));
   }
 
-  private int port(org.acaciapond.common.settings.SettingDescriptor<Long> descriptor) {
+  private int port(SettingDescriptor<Long> descriptor) {
     return settings.get(descriptor).intValue();
   }
 
@@ -169,20 +265,17 @@
 
   @Override
   public Uni<Void> start() {
-    Uni<Void> chain = Uni.createFrom().voidItem();
-    for (ManagedService service : services) {
-      chain = chain.chain(service::start);
-    }
-    return chain;
+    return base.start().chain(control::start);
   }
 
+  /** Announces that the node leaves while calls drain, then stops all services. */
   @Override
   public Uni<Void> stop() {
-    Uni<Void> chain = Uni.createFrom().voidItem();
-    for (int i = services.size() - 1; i >= 0; i--) {
-      chain = chain.chain(services.get(i)::stop);
-    }
-    return chain;
+    return Uni.combine()
+        .all()
+        .unis(control.stop(), inbound.stop())
+        .discardItems()
+        .chain(base::stop);
   }
 
   /** Returns the holder of the snapshot in force. */
@@ -215,6 +308,16 @@
     return admin.port();
   }
 
+  /** Returns the counters of the traffic with other nodes. */
+  public TransportCounters transportCounters() {
+    return transport.counters();
+  }
+
+  /** Returns the counters of the traffic with the platform. */
+  public PlatformCounters platformCounters() {
+    return platform.counters();
+  }
+
   /** Returns the address of the peer listener. */
   public PeerAddress peerAddress() {
     return transport.address();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.acaciapond.common.settings.SettingDescriptor;
+import org.acaciapond.node.distribution.DistributionSettings;
 import org.acaciapond.node.membership.MembershipSettingDescriptors;
 import org.acaciapond.node.proxy.RequestPathSettings;
 import org.acaciapond.node.telemetry.TelemetrySettings;
@@ -75,6 +76,7 @@
                   SEEDS,
                   PLATFORM,
                   POLL_INTERVAL_MS),
+              DistributionSettings.ALL,
               RequestPathSettings.ALL,
               TelemetrySettings.ALL,
               MembershipSettingDescriptors.ALL)
