Run rollouts in the node: evidence, judges, pace, grants and taken-back versions

Each node reports its calls to the judges of a moved service, one in each failure domain. Any judge may take a version back by gossip; the holder of the lease at the table starts moves and raises shares. Calls of outside callers to an exposed service are routed like calls between services, so that shares apply to them too.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/InProcessMesh.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/InProcessMesh.java
@@ -24,6 +24,8 @@
 /** Proxies of several nodes in this process, without membership and platform. */
 final class InProcessMesh {
 
+  private static final int FORBIDDEN = 403;
+
   final RequestPathCounters counters = new RequestPathCounters();
   private final Vertx vertx;
   private final MeshConfig config;
@@ -79,7 +81,8 @@
             0,
             options,
             counters,
-            HopTracer.NONE);
+            HopTracer.NONE,
+            () -> request -> request.response().setStatusCode(FORBIDDEN).end());
     proxy.start().await().indefinitely();
     announce(service, proxy.port());
     return proxy;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -31,6 +31,7 @@
 import org.acaciapond.node.proxy.OutboundProxy;
 import org.acaciapond.node.proxy.RequestPathCounters;
 import org.acaciapond.node.proxy.RequestPathOptions;
+import org.acaciapond.node.rollout.RolloutService;
 import org.acaciapond.node.telemetry.JsonLinesSpanSink;
 import org.acaciapond.node.telemetry.NodeMetrics;
 import org.acaciapond.node.telemetry.OpenTelemetryHopTracer;
@@ -41,14 +42,16 @@
 import org.acaciapond.platform.client.RetryPolicy;
 import org.acaciapond.protocol.codec.CodecRegistry;
 import org.acaciapond.protocol.codec.DistributionCodecs;
+import org.acaciapond.protocol.codec.EvidenceMessageCodec;
 import org.acaciapond.protocol.codec.MembershipMessageCodec;
 import org.acaciapond.protocol.codec.MessageCodec;
+import org.acaciapond.protocol.message.EvidenceMessage;
 import org.acaciapond.protocol.message.MembershipMessage;
 import org.acaciapond.protocol.transport.PeerAddress;
 import org.acaciapond.protocol.transport.PeerConnection;
 import org.acaciapond.protocol.transport.PeerTransport;
 import org.acaciapond.protocol.transport.TransportCounters;
-import org.acaciapond.routing.target.VersionSplit;
+import org.acaciapond.routing.call.CallListener;
 import org.jspecify.annotations.Nullable;
 
 /** Assembly of the services of one node. */
@@ -67,6 +70,7 @@
   private final HttpPlatformClient platform;
   private final MembershipService membership;
   private final DistributionService distribution;
+  private final RolloutService rollouts;
   private final InboundProxy inbound;
   private final OutboundProxy outbound;
   private final AdminServer admin;
@@ -99,6 +103,7 @@
         fixedMembers == null
             ? newDistribution(vertx, membership, membership)
             : newDistribution(vertx, fixedMembers, new LocalGossipStore());
+    this.rollouts = newRollouts(vertx);
     HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
     this.outbound = newOutbound(vertx, requestPath, tracer);
     this.inbound = newInbound(vertx, requestPath, tracer);
@@ -111,12 +116,14 @@
     this.base = new OrderedServices(List.of(transport, outbound, inbound, admin));
     ManagedService source = polls() ? newHeadPoller(vertx) : distribution;
     this.control =
-        new OrderedServices(fixedMembers == null ? List.of(membership, source) : List.of(source));
+        new OrderedServices(
+            fixedMembers == null ? List.of(membership, source, rollouts) : List.of(source));
   }
 
   private PeerTransport newTransport(Vertx vertx) {
     List<MessageCodec<?>> codecs = new ArrayList<>(DistributionCodecs.ALL);
     codecs.add(new MembershipMessageCodec());
+    codecs.add(new EvidenceMessageCodec());
     return new PeerTransport(
         vertx,
         new CodecRegistry(codecs),
@@ -161,6 +168,20 @@
         settings.get(NodeSettings.POLL_INTERVAL_MS));
   }
 
+  private RolloutService newRollouts(Vertx vertx) {
+    return new RolloutService(
+        vertx,
+        time,
+        newRandom(),
+        membership,
+        membership,
+        membership,
+        transport,
+        platform,
+        holder,
+        distribution::isPoller);
+  }
+
   private HeadPoller newHeadPoller(Vertx vertx) {
     return new HeadPoller(
         vertx,
@@ -171,13 +192,18 @@
   }
 
   private OutboundProxy newOutbound(Vertx vertx, RequestPathOptions options, HopTracer tracer) {
+    CallListener calls =
+        call -> {
+          metrics.onCall(call);
+          rollouts.onCall(call);
+        };
     return new OutboundProxy(
         vertx,
         time,
         holder,
         membership,
-        service -> VersionSplit.only(service.currentVersion()),
-        metrics,
+        rollouts.book(),
+        calls,
         settings.get(NodeSettings.FAILURE_DOMAIN),
         port(NodeSettings.OUTBOUND_PORT),
         options,
@@ -195,7 +221,8 @@
         port(NodeSettings.INBOUND_PORT),
         options,
         requestPathCounters,
-        tracer);
+        tracer,
+        outbound::newIngressHandler);
   }
 
   private static HopTracer newTracer(long perMillion) {
@@ -229,6 +256,8 @@
         message -> {
           if (message instanceof MembershipMessage) {
             membership.onMessage(connection, message);
+          } else if (message instanceof EvidenceMessage evidence) {
+            rollouts.onMessage(evidence);
           } else {
             distribution.onMessage(connection, message);
           }
@@ -293,6 +322,11 @@
     return membership;
   }
 
+  /** Returns the rollouts as this node sees them. */
+  public RolloutService rollouts() {
+    return rollouts;
+  }
+
   /** Returns the port of the outbound listener. */
   public int outboundPort() {
     return outbound.port();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -41,7 +41,7 @@
   private final String ownService;
   private final long pollIntervalMs;
   private final Set<Long> timers = new HashSet<>();
-  private @Nullable Roles roles;
+  private volatile @Nullable Roles roles;
 
   /** Roles of the node, which exist from the start of the service. */
   private record Roles(
@@ -158,6 +158,12 @@
     timers.remove(timerId);
   }
 
+  /** Returns whether this node is the poller of its failure domain; safe on any thread. */
+  public boolean isPoller() {
+    Roles current = roles;
+    return current != null && current.poller().isPoller();
+  }
+
   /** Returns whether no version later than the one in force was heard of; safe on any thread. */
   public boolean hasCaughtUp() {
     return GossipHead.read(gossip)
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.PoolOptions;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.config.model.LimitsConfig;
@@ -38,9 +39,14 @@
   private final InboundContext context;
   private final RouteTables routes = new RouteTables();
   private final ProxyListener listener;
+  private final Supplier<Handler<HttpServerRequest>> ingress;
   private volatile long watchTimerId = -1;
 
-  /** Creates a proxy. */
+  /**
+   * Creates a proxy.
+   *
+   * @param ingress makes a handler, for one event loop, of the calls of outside callers
+   */
   public InboundProxy(
       Vertx vertx,
       TimeSource time,
@@ -50,7 +56,9 @@
       int port,
       RequestPathOptions options,
       RequestPathCounters counters,
-      HopTracer tracer) {
+      HopTracer tracer,
+      Supplier<Handler<HttpServerRequest>> ingress) {
+    this.ingress = ingress;
     this.holder = holder;
     this.localTarget = localTarget;
     this.context =
@@ -128,10 +136,12 @@
                     .setTcpNoDelay(true))
             .with(new PoolOptions().setHttp1MaxSize(connections))
             .build();
-    return request -> onRequest(request, client);
+    Handler<HttpServerRequest> outside = ingress.get();
+    return request -> onRequest(request, client, outside);
   }
 
-  private void onRequest(HttpServerRequest request, HttpClient client) {
+  private void onRequest(
+      HttpServerRequest request, HttpClient client, Handler<HttpServerRequest> outside) {
     Snapshot snapshot = holder.current();
     String caller = request.getHeader(MeshHeaders.CALLER);
     ServiceConfig own = snapshot.service(snapshot.scope().ownService());
@@ -140,6 +150,10 @@
       refuse(request, FORBIDDEN, "caller not permitted: " + caller);
       return;
     }
+    if (caller == null) {
+      outside.handle(request);
+      return;
+    }
     LocalTarget.Announcement target = localTarget.announcement();
     if (target == null || own == null) {
       refuse(request, UNAVAILABLE, "no target");
@@ -173,9 +187,12 @@
 
   private static boolean isPermitted(
       Snapshot snapshot, @Nullable ServiceConfig own, @Nullable String caller) {
-    if (caller != null) {
-      return snapshot.scope().permittedCallers().contains(caller);
+    boolean exposed = own != null && own.exposed();
+    if (caller == null) {
+      return exposed;
     }
-    return own != null && own.exposed();
+    // The node that received the call of an outside caller passes it on as its own service.
+    boolean passedOn = exposed && caller.equals(snapshot.scope().ownService());
+    return passedOn || snapshot.scope().permittedCallers().contains(caller);
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundProxy.java
@@ -95,8 +95,20 @@
     return request -> onRequest(request, client);
   }
 
+  /**
+   * Returns a handler of the calls of outside callers to an exposed service, for one event loop.
+   * They are routed like calls between services, so that shares and retries apply to them too.
+   */
+  public Handler<HttpServerRequest> newIngressHandler() {
+    NodeClient client = new NodeClient(context.vertx(), context.counters());
+    return request -> route(request, client, context.holder().current().scope().ownService());
+  }
+
   private void onRequest(HttpServerRequest request, NodeClient client) {
-    String name = serviceName(request);
+    route(request, client, serviceName(request));
+  }
+
+  private void route(HttpServerRequest request, NodeClient client, String name) {
     ServiceConfig service = context.holder().current().service(name);
     if (service == null) {
       context.counters().refusedCallers.increment();
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
@@ -0,0 +1,99 @@
+package org.acaciapond.node.rollout;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.acaciapond.config.version.ConfigCodec;
+import org.acaciapond.membership.GossipEntry;
+import org.acaciapond.platform.client.Row;
+import org.acaciapond.rollout.state.RolloutRow;
+import org.acaciapond.rollout.state.TakenBack;
+
+/** Keys and encodings of the rows of rollouts, alike in the table and in gossip. */
+final class RolloutGossip {
+
+  static final String ROW_PREFIX = "rollout/";
+  static final String GRANT_PREFIX = "grant/";
+  static final String TAKEN_BACK_PREFIX = "taken-back/";
+
+  /** Facts are never replaced, so they all have one revision. */
+  private static final long FACT_REVISION = 1;
+
+  private static final int FACT_KEY_PARTS = 3;
+
+  /** Longer reasons would not fit into one gossip entry. */
+  private static final int MAX_REASON_CHARS = 160;
+
+  private RolloutGossip() {}
+
+  /**
+   * Row of a rollout as of one revision of the table.
+   *
+   * @param row content
+   * @param revision revision in the table
+   */
+  record RecordedRow(RolloutRow row, long revision) {}
+
+  /**
+   * Value of a taken-back fact.
+   *
+   * @param operator who took the version back
+   * @param time when, in ISO 8601
+   * @param reason why
+   */
+  record FactValue(String operator, String time, String reason) {}
+
+  static String rowKey(String service) {
+    return ROW_PREFIX + service;
+  }
+
+  static String factKey(TakenBack fact) {
+    return TAKEN_BACK_PREFIX + fact.service() + "/" + fact.version();
+  }
+
+  static byte[] encode(Object value) {
+    try {
+      return ConfigCodec.mapper().writeValueAsString(value).getBytes(StandardCharsets.UTF_8);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("record of plain values", e);
+    }
+  }
+
+  static byte[] encodeFact(String operator, String time, String reason) {
+    int length = Math.min(reason.length(), MAX_REASON_CHARS);
+    return encode(new FactValue(operator, time, reason.substring(0, length)));
+  }
+
+  static GossipEntry grantEntry(RecordedRow recorded) {
+    return new GossipEntry(
+        GRANT_PREFIX + recorded.row().service(), recorded.revision(), encode(recorded.row()));
+  }
+
+  static GossipEntry factEntry(String key, byte[] value) {
+    return new GossipEntry(key, FACT_REVISION, value);
+  }
+
+  static Optional<RecordedRow> decodeGrant(GossipEntry entry) {
+    return decodeRow(entry.value()).map(row -> new RecordedRow(row, entry.revision()));
+  }
+
+  static Optional<RecordedRow> decodeRow(Row row) {
+    return decodeRow(row.value()).map(decoded -> new RecordedRow(decoded, row.revision()));
+  }
+
+  private static Optional<RolloutRow> decodeRow(byte[] value) {
+    try {
+      return Optional.ofNullable(ConfigCodec.mapper().readValue(value, RolloutRow.class));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  static Optional<TakenBack> decodeFactKey(String key) {
+    String[] parts = key.split("/", FACT_KEY_PARTS);
+    return parts.length == FACT_KEY_PARTS && key.startsWith(TAKEN_BACK_PREFIX)
+        ? Optional.of(new TakenBack(parts[1], parts[2]))
+        : Optional.empty();
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutService.java
@@ -0,0 +1,188 @@
+package org.acaciapond.node.rollout;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.config.snapshot.SnapshotHolder;
+import org.acaciapond.membership.GossipStore;
+import org.acaciapond.membership.Member;
+import org.acaciapond.membership.MembershipView;
+import org.acaciapond.platform.client.PlatformClient;
+import org.acaciapond.protocol.message.EvidenceMessage;
+import org.acaciapond.protocol.transport.PeerTransport;
+import org.acaciapond.rollout.evidence.EvidenceSummary;
+import org.acaciapond.rollout.state.RolloutInvariants;
+import org.acaciapond.routing.call.CallListener;
+import org.acaciapond.routing.call.CallRecord;
+import org.acaciapond.routing.target.TargetDirectory;
+import org.jspecify.annotations.Nullable;
+
+/** Service that reports evidence of rollouts and judges those of the own service. */
+public final class RolloutService implements ManagedService, CallListener {
+
+  /** Length of the intervals that evidence is compared in. */
+  private static final long INTERVAL_MS = 1_000;
+
+  private final Vertx vertx;
+  private final TimeSource time;
+  private final RandomGenerator random;
+  private final MembershipView members;
+  private final GossipStore gossip;
+  private final PeerTransport transport;
+  private final PlatformClient platform;
+  private final SnapshotHolder holder;
+  private final RolloutInvariants invariants = new RolloutInvariants(false);
+  private final RolloutBook book;
+  private final EvidenceRecorder recorder;
+  private final BooleanSupplier poller;
+  private final String hostId;
+  private final long incarnation;
+  private volatile @Nullable Running running;
+  private long timerId = -1;
+
+  private record Running(Context context, EvidenceSender sender, OwnRollout own, TableSync sync) {}
+
+  /**
+   * Creates a service.
+   *
+   * @param vertx event loops and timers
+   * @param time clock
+   * @param random source of jitter
+   * @param members members of all failure domains
+   * @param gossip carries grants and taken-back versions
+   * @param directory announced targets
+   * @param transport connections to other nodes
+   * @param platform table service
+   * @param holder snapshot in force
+   * @param poller returns whether this node is the poller of its failure domain
+   */
+  public RolloutService(
+      Vertx vertx,
+      TimeSource time,
+      RandomGenerator random,
+      MembershipView members,
+      GossipStore gossip,
+      TargetDirectory directory,
+      PeerTransport transport,
+      PlatformClient platform,
+      SnapshotHolder holder,
+      BooleanSupplier poller) {
+    this.vertx = vertx;
+    this.time = time;
+    this.random = random;
+    this.members = members;
+    this.gossip = gossip;
+    this.transport = transport;
+    this.platform = platform;
+    this.holder = holder;
+    this.book = new RolloutBook(gossip, directory, invariants);
+    this.incarnation = time.now().toEpochMilli();
+    Member self = members.self();
+    this.hostId = self.hostId();
+    this.recorder = new EvidenceRecorder(book, hostId, self.failureDomain(), incarnation);
+    this.poller = poller;
+  }
+
+  @Override
+  public Uni<Void> start() {
+    Context context = vertx.getOrCreateContext();
+    Consumer<Runnable> loop = work -> context.runOnContext(ignored -> work.run());
+    String service = ownService();
+    RolloutTable table =
+        new RolloutTable(platform, time, random, loop, service, hostId + "/" + incarnation);
+    OwnRollout own = new OwnRollout(service, time, members, book, gossip, invariants, table);
+    EvidenceSender sender = new EvidenceSender(transport, loop);
+    TableSync sync = new TableSync(platform, gossip, time, poller, loop);
+    Running started = new Running(context, sender, own, sync);
+    running = started;
+    timerId =
+        vertx.setPeriodic(
+            1 + random.nextLong(INTERVAL_MS),
+            INTERVAL_MS,
+            id -> context.runOnContext(ignored -> tick(started)));
+    return Uni.createFrom().voidItem();
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    Running current = running;
+    vertx.cancelTimer(timerId);
+    if (current != null) {
+      current
+          .context()
+          .runOnContext(
+              ignored -> {
+                current.own().resign();
+                current.sender().close();
+              });
+    }
+    return Uni.createFrom().voidItem();
+  }
+
+  private String ownService() {
+    return holder.current().scope().ownService();
+  }
+
+  private void tick(Running current) {
+    current.sync().tick();
+    report(current);
+    boolean judge =
+        JudgeElection.judges(members, ownService()).stream()
+            .anyMatch(member -> member.hostId().equals(hostId));
+    if (judge) {
+      current.own().tick(holder.current().service(ownService()));
+    } else {
+      current.own().resign();
+    }
+  }
+
+  private void report(Running current) {
+    long interval = time.now().getEpochSecond();
+    Map<String, EvidenceSummary> summaries = recorder.drain(interval);
+    if (summaries.isEmpty() || !JudgeElection.isWitness(members)) {
+      return;
+    }
+    summaries.forEach((service, summary) -> send(current, service, summary));
+  }
+
+  private void send(Running current, String service, EvidenceSummary summary) {
+    List<Member> judges = JudgeElection.judges(members, service);
+    for (Member judge : judges) {
+      if (judge.hostId().equals(hostId)) {
+        current.own().onEvidence(summary);
+      } else {
+        current.sender().send(judge, new EvidenceMessage(summary));
+      }
+    }
+  }
+
+  /** Receives a summary of another node; may be called on any thread. */
+  public void onMessage(EvidenceMessage message) {
+    Running current = running;
+    if (current != null) {
+      current.context().runOnContext(ignored -> current.own().onEvidence(message.summary()));
+    }
+  }
+
+  @Override
+  public void onCall(CallRecord call) {
+    recorder.onCall(call);
+  }
+
+  /** Returns the traffic shares for the request path. */
+  public RolloutBook book() {
+    return book;
+  }
+
+  /** Returns the checker of the invariants of rollouts. */
+  public RolloutInvariants invariants() {
+    return invariants;
+  }
+}
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -132,7 +132,8 @@
             0,
             options(),
             counters,
-            HopTracer.NONE);
+            HopTracer.NONE,
+            outbound::newIngressHandler);
     inbound.start().await().indefinitely();
     inbounds.add(inbound);
     targets.add(target);
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/EvidenceMessageCodec.java
@@ -0,0 +1,110 @@
+package org.acaciapond.protocol.codec;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.acaciapond.protocol.message.EvidenceMessage;
+import org.acaciapond.rollout.evidence.EvidenceSummary;
+import org.acaciapond.rollout.evidence.LatencySketch;
+import org.acaciapond.rollout.evidence.RouteCounts;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Codec of {@link EvidenceMessage}; of a latency sketch only the filled buckets are written. */
+public final class EvidenceMessageCodec implements MessageCodec<EvidenceMessage> {
+
+  private static final int TYPE_ID = 40;
+  private static final int MAX_MESSAGE_BYTES = 256 * 1024;
+  private static final int MAX_ROUTES = 4_096;
+
+  @Override
+  public int typeId() {
+    return TYPE_ID;
+  }
+
+  @Override
+  public int maxBytes() {
+    return MAX_MESSAGE_BYTES;
+  }
+
+  @Override
+  public Class<EvidenceMessage> type() {
+    return EvidenceMessage.class;
+  }
+
+  @Override
+  public void encode(EvidenceMessage message, MessagePacker packer) throws IOException {
+    EvidenceSummary summary = message.summary();
+    packer.packString(summary.witness());
+    packer.packString(summary.domain());
+    packer.packLong(summary.incarnation());
+    packer.packLong(summary.interval());
+    packer.packLong(summary.grantNumber());
+    packer.packArrayHeader(summary.routes().size());
+    for (RouteCounts counts : summary.routes()) {
+      packer.packString(counts.service());
+      packer.packString(counts.version());
+      packer.packString(counts.route());
+      packer.packInt(counts.calls());
+      packer.packInt(counts.errors());
+      encodeSketch(counts.latency(), packer);
+    }
+  }
+
+  private static void encodeSketch(LatencySketch sketch, MessagePacker packer) throws IOException {
+    int filled = 0;
+    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
+      filled += sketch.count(i) > 0 ? 1 : 0;
+    }
+    packer.packMapHeader(filled);
+    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
+      if (sketch.count(i) > 0) {
+        packer.packInt(i);
+        packer.packInt(sketch.count(i));
+      }
+    }
+  }
+
+  @Override
+  public EvidenceMessage decode(MessageUnpacker unpacker) throws IOException {
+    String witness = unpacker.unpackString();
+    String domain = unpacker.unpackString();
+    long incarnation = unpacker.unpackLong();
+    long interval = unpacker.unpackLong();
+    long grantNumber = unpacker.unpackLong();
+    int size = bounded(unpacker.unpackArrayHeader(), MAX_ROUTES);
+    List<RouteCounts> routes = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      routes.add(decodeCounts(unpacker));
+    }
+    return new EvidenceMessage(
+        new EvidenceSummary(witness, domain, incarnation, interval, grantNumber, routes));
+  }
+
+  private static RouteCounts decodeCounts(MessageUnpacker unpacker) throws IOException {
+    String service = unpacker.unpackString();
+    String version = unpacker.unpackString();
+    String route = unpacker.unpackString();
+    int calls = bounded(unpacker.unpackInt(), Integer.MAX_VALUE);
+    int errors = bounded(unpacker.unpackInt(), calls);
+    return new RouteCounts(service, version, route, calls, errors, decodeSketch(unpacker, calls));
+  }
+
+  private static LatencySketch decodeSketch(MessageUnpacker unpacker, int calls)
+      throws IOException {
+    LatencySketch sketch = new LatencySketch();
+    int filled = bounded(unpacker.unpackMapHeader(), LatencySketch.BUCKETS);
+    for (int i = 0; i < filled; i++) {
+      int bucket = bounded(unpacker.unpackInt(), LatencySketch.BUCKETS - 1);
+      sketch.add(bucket, bounded(unpacker.unpackInt(), calls));
+    }
+    return sketch;
+  }
+
+  private static int bounded(int value, int limit) throws IOException {
+    if (value < 0 || value > limit) {
+      throw new IOException("number " + value + " exceeds " + limit);
+    }
+    return value;
+  }
+}
