--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RowState.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RowState.java
@@ -6,6 +6,7 @@
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.platform.client.Row;
+import org.acaciapond.platform.client.TableKeys;
 
 /**
  * Row of a rollout or a taken-back fact, read as generic JSON.
@@ -16,8 +17,8 @@
  */
 record RowState(String key, long revision, ObjectNode fields) {
 
-  static final String ROLLOUT_PREFIX = "rollout/";
-  static final String TAKEN_BACK_PREFIX = "taken-back/";
+  static final String ROLLOUT_PREFIX = TableKeys.ROLLOUT_PREFIX;
+  static final String TAKEN_BACK_PREFIX = TableKeys.TAKEN_BACK_PREFIX;
   private static final String UNREADABLE = "UNREADABLE";
 
   /** Decodes a row; a value that is no JSON object is shown as unreadable. */
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TakeBackCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TakeBackCommand.java
@@ -13,6 +13,7 @@
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.platform.client.PlatformException;
 import org.acaciapond.platform.client.Row;
+import org.acaciapond.platform.client.TableKeys;
 import org.acaciapond.platform.client.WriteResult;
 
 /** Command {@code take-back SERVICE VERSION}: records that a version must get no traffic. */
@@ -36,10 +37,12 @@
     for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       WriteResult write = context.platform().writeRow(key, 0, value).await().indefinitely();
       if (write.outcome() == WriteResult.Outcome.APPLIED) {
+        notifyPollers(context);
         return report(context, service, version, "TAKEN_BACK", " is taken back");
       }
       Optional<Row> present = readBack(context, key);
       if (present.isPresent()) {
+        notifyPollers(context);
         // An equal value means that this write took effect and only its answer was lost.
         return Arrays.equals(present.get().value(), value)
             ? report(context, service, version, "TAKEN_BACK", " is taken back")
@@ -62,6 +65,14 @@
         null);
   }
 
+  /** Changes the index row; without it, pollers find the fact at their next full read in 30 s. */
+  private static void notifyPollers(CommandContext context) {
+    Optional<Row> index = readBack(context, TableKeys.TAKEN_BACK_INDEX);
+    long revision = index.map(Row::revision).orElse(0L);
+    byte[] value = Output.object().toString().getBytes(StandardCharsets.UTF_8);
+    context.platform().writeRow(TableKeys.TAKEN_BACK_INDEX, revision, value).await().indefinitely();
+  }
+
   /** Guards against a mistyped name, which would take nothing back. */
   private static void checkVersion(CommandContext context, String service, String version) {
     HeadState head = HeadState.read(context.platform());
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -103,7 +103,8 @@
         new Subscribers(
             context.self().failureDomain(),
             store,
-            domain -> context.roles(domain).keepers().size());
+            domain -> context.roles(domain).keepers().size(),
+            this::isPoller);
     roles =
         new Roles(
             new FloorRole(context, platform),
@@ -149,6 +150,10 @@
     boolean keeper = domain.keepers().contains(self.hostId());
     current.keeper().tick(keeper && !poller);
     current.leaf().tick(!poller && !keeper);
+    if (poller && keeper) {
+      current.subscribers().recordOwn(self.hostId(), store.held().version());
+    }
+    current.subscribers().notifyAllHolders();
     current.subscribers().resendUnacknowledged();
     current.poller().activateIfHeld();
   }
@@ -212,7 +217,7 @@
   /** Answers only once this node has caught up itself; its answer could be too low before. */
   private void answerFloor(Roles current, PeerConnection connection) {
     if (current.floor().floor().isPresent() && store.hasReachedFloor()) {
-      connection.send(new FloorAnswerMessage(context.self().hostId(), store.held().version()));
+      connection.send(new FloorAnswerMessage(context.self().hostId(), store.highestVersion()));
     } else {
       connection.close();
     }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
@@ -7,15 +7,16 @@
 import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.membership.GossipEntry;
 import org.acaciapond.platform.client.Row;
+import org.acaciapond.platform.client.TableKeys;
 import org.acaciapond.rollout.state.RolloutRow;
 import org.acaciapond.rollout.state.TakenBack;
 
 /** Keys and encodings of the rows of rollouts, alike in the table and in gossip. */
 final class RolloutGossip {
 
-  static final String ROW_PREFIX = "rollout/";
+  static final String ROW_PREFIX = TableKeys.ROLLOUT_PREFIX;
   static final String GRANT_PREFIX = "grant/";
-  static final String TAKEN_BACK_PREFIX = "taken-back/";
+  static final String TAKEN_BACK_PREFIX = TableKeys.TAKEN_BACK_PREFIX;
 
   /** Facts are never replaced, so they all have one revision. */
   private static final long FACT_REVISION = 1;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/TableSync.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/TableSync.java
@@ -11,6 +11,7 @@
 import org.acaciapond.membership.GossipStore;
 import org.acaciapond.platform.client.PlatformClient;
 import org.acaciapond.platform.client.Row;
+import org.acaciapond.platform.client.TableKeys;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -18,14 +19,11 @@
  * Exchange of rollout rows and taken-back facts between table and gossip, by the poller of each
  * failure domain.
  *
- * <p>An operator's take-back bumps the row {@value #INDEX_KEY}; only a change of its revision makes
- * the poller list all facts, so that a quiet table costs one small read each second.
+ * <p>An operator's take-back bumps the row {@link TableKeys#TAKEN_BACK_INDEX}; only a change of its
+ * revision makes the poller list all facts, so that a quiet table costs one small read each second.
  */
 final class TableSync {
 
-  /** Row whose revision changes when an operator takes a version back. */
-  static final String INDEX_KEY = "taken-back-index";
-
   private static final Logger LOG = LogManager.getLogger(TableSync.class);
 
   /** Facts that judges could not record during an outage are recorded within this time. */
@@ -84,7 +82,7 @@
 
   private void checkIndex() {
     platform
-        .readRow(INDEX_KEY)
+        .readRow(TableKeys.TAKEN_BACK_INDEX)
         .subscribe()
         .with(row -> loop.accept(() -> onIndex(row.map(Row::revision).orElse(0L))), this::onError);
   }
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ResilientPlatformClient.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ResilientPlatformClient.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -23,6 +24,9 @@
  */
 public final class ResilientPlatformClient implements PlatformClient {
 
+  /** The platform encodes values in lists as base64url without padding. */
+  private static final Base64.Decoder VALUE_DECODER = Base64.getUrlDecoder();
+
   private static final int OK = 200;
   private static final int CREATED = 201;
   private static final int NO_CONTENT = 204;
@@ -262,10 +266,10 @@
             new Row(
                 row.path("key").asText(),
                 row.path("revision").asLong(),
-                row.path("value").binaryValue()));
+                VALUE_DECODER.decode(row.path("value").asText())));
       }
       return rows;
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException e) {
       throw protocol("malformed list", e);
     }
   }
