--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/AntiEntropy.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/AntiEntropy.java
@@ -17,6 +17,14 @@
   /** Limit of the buckets compared in detail after one exchange of digests. */
   private static final int MAX_SUMMARIES = 8;
 
+  /**
+   * Limit of the digests answered in a second. In a start of 2,000 members a seed otherwise sent
+   * 646 KB in a second.
+   */
+  private static final int MAX_ANSWERS_PER_SECOND = 20;
+
+  private static final long ANSWER_WINDOW_MS = 1_000;
+
   /** Delay until the next comparison when more buckets differed than one exchange covers. */
   private static final long FOLLOW_UP_MS = 1_000;
 
@@ -31,6 +39,8 @@
   private final PeerChoice seeds;
   private long nextMs;
   private int summariesReceived;
+  private long answersSinceMs;
+  private int answers;
   private int earlyLeft;
   private boolean followUp;
   private NodeAddress lastPeer;
@@ -110,6 +120,9 @@
 
   /** Answers digests with summaries of some buckets that differ. */
   public void onDigests(NodeAddress from, MembershipBody.Digests remote) {
+    if (!mayAnswer()) {
+      return;
+    }
     int[] own = ownDigests();
     int offset = exchange.random.nextInt(own.length);
     int sent = 0;
@@ -125,6 +138,14 @@
     }
   }
 
+  private boolean mayAnswer() {
+    if (exchange.nowMs() - answersSinceMs >= ANSWER_WINDOW_MS) {
+      answersSinceMs = exchange.nowMs();
+      answers = 0;
+    }
+    return ++answers <= MAX_ANSWERS_PER_SECOND;
+  }
+
   private MembershipBody.Summary summaryOf(int bucket) {
     Map<Long, Integer> items = itemsOf(bucket);
     int count = Math.min(items.size(), MembershipBody.MAX_SUMMARY_ITEMS);
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/UpdateQueue.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/UpdateQueue.java
@@ -22,8 +22,8 @@
 
   private static final int LEVELS = 64;
 
-  /** Burst of the byte allowance: about 200 records at once. */
-  private static final int BURST_BYTES = 24 * 1024;
+  /** Burst of the byte allowance: about 1,000 records, as when a failure domain restarts. */
+  private static final int BURST_BYTES = 128 * 1024;
 
   private final MemberTable table;
   private final ReplicatedStore store;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
@@ -66,9 +66,10 @@
   private final long seedsIntervalMs;
   private final long drainDelayMs;
   private final SplittableRandom random;
-  private final List<Consumer<GossipEntry>> earlyListeners = new CopyOnWriteArrayList<>();
+  private final Object startLock = new Object();
+  private final List<Consumer<GossipEntry>> earlyListeners = new ArrayList<>();
   private final List<Consumer<MembershipEvent>> eventListeners = new CopyOnWriteArrayList<>();
-  private final List<GossipEntry> earlyEntries = new CopyOnWriteArrayList<>();
+  private final List<GossipEntry> earlyEntries = new ArrayList<>();
   private volatile @Nullable Running running;
   private volatile Map<String, List<TargetEndpoint>> targets = Map.of();
   private LocalTarget.@Nullable Announcement announced;
@@ -131,11 +132,13 @@
             configuredSeeds,
             random.split(),
             nowMs());
-    earlyListeners.forEach(state::addListener);
-    earlyEntries.forEach(state::publish);
     Context context = vertx.getOrCreateContext();
     PeerLinks links = new PeerLinks(context, transport, random.split(), this::onMessage);
-    running = new Running(context, state, links);
+    synchronized (startLock) {
+      earlyListeners.forEach(state::addListener);
+      earlyEntries.forEach(state::publish);
+      running = new Running(context, state, links);
+    }
     nextSeedsMs = nowMs() + random.nextLong(FIRST_SEEDS_SPREAD_MS);
     timerId =
         vertx.setPeriodic(
@@ -331,8 +334,12 @@
 
   @Override
   public boolean publish(GossipEntry entry) {
-    Running run = running;
-    return run == null ? earlyEntries.add(entry) : run.state().publish(entry);
+    synchronized (startLock) {
+      if (running == null) {
+        return earlyEntries.add(entry);
+      }
+    }
+    return fromState(state -> state.publish(entry), () -> false);
   }
 
   @Override
@@ -347,11 +354,13 @@
 
   @Override
   public void addListener(Consumer<GossipEntry> listener) {
-    Running run = running;
-    if (run == null) {
-      earlyListeners.add(listener);
-    } else {
-      run.state().addListener(listener);
+    synchronized (startLock) {
+      Running run = running;
+      if (run == null) {
+        earlyListeners.add(listener);
+      } else {
+        run.state().addListener(listener);
+      }
     }
   }
 }
--- a/acaciapond-node/src/test/java/org/acaciapond/node/membership/MembershipServiceTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/membership/MembershipServiceTest.java
@@ -177,6 +177,17 @@
     await(() -> SeedRow.decode(rows.get("seeds/a").value()).size() == 2, "row not kept fresh");
   }
 
+  @Test
+  void aNodeThatCannotBeReachedAnyMoreIsTakenOutOfTheView() throws Exception {
+    platformDown = true;
+    final Node first = new Node("h1", "a", List.of());
+    final Node second = new Node("h2", "a", List.of(first.address()));
+    Node third = new Node("h3", "a", List.of(first.address()));
+    await(() -> sees(first, 3) && sees(second, 3) && sees(third, 3), "views differ");
+    third.transport.stop().await().atMost(HANG_LIMIT);
+    await(() -> sees(first, 2) && sees(second, 2), "still in the view");
+  }
+
   @Test
   void aMalformedSeedRowYieldsNoAddress() {
     assertEquals(List.of(), SeedRow.decode("{\"no\":1}".getBytes()));
--- /dev/null
+++ b/acaciapond-protocol/src/test/java/org/acaciapond/protocol/transport/ReconnectBackoffTest.java
@@ -0,0 +1,24 @@
+package org.acaciapond.protocol.transport;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Delays that must neither stay short, which storms a host, nor grow without a bound. */
+class ReconnectBackoffTest {
+
+  @Test
+  void delaysGrowToTheirBoundAndStartAgainAfterASuccess() {
+    ReconnectBackoff backoff = new ReconnectBackoff(new SplittableRandom(1));
+    assertTrue(backoff.nextDelayMs() <= 200);
+    long last = 0;
+    for (int i = 0; i < 100; i++) {
+      last = backoff.nextDelayMs();
+      assertTrue(last <= 10_000, "delay " + last);
+    }
+    assertTrue(last >= 5_000, "delay " + last);
+    backoff.reset();
+    assertTrue(backoff.nextDelayMs() <= 200);
+  }
+}
