--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/AntiEntropy.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/AntiEntropy.java
@@ -18,10 +18,10 @@
   private static final int MAX_SUMMARIES = 8;
 
   /**
-   * Limit of the digests answered in a second. In a start of 2,000 members a seed otherwise sent
-   * 646 KB in a second.
+   * Limit of the digests answered in a second, which bounds the answers of a seed in a mass start.
+   * With 20, a start of 800 members took 75 s until all knew all, with no limit 18 s.
    */
-  private static final int MAX_ANSWERS_PER_SECOND = 20;
+  private static final int MAX_ANSWERS_PER_SECOND = 100;
 
   private static final long ANSWER_WINDOW_MS = 1_000;
 
