Take a suspect connection out of use early and end answers of stated length at once

Cause 1: calls kept going to a silent connection until it was closed. The watch now pings only when calls are in flight and nothing was heard for 250 ms; a ping unanswered for 500 ms takes the connection out of use, 1750 ms close it. Cause 2: an answer whose bytes had all arrived waited for the end of its stream. When the connection was lost in between, the connection of the caller was cut, though the caller had taken the answer for whole and had sent its next call. Also: the overload benchmark limited its own connections to 128 and counted late answers, so that the baseline looked better than it was; it now counts answers within the deadline only.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/LoadClient.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/LoadClient.java
@@ -22,7 +22,7 @@
   record Answer(int status, @Nullable String outcome, Buffer body) {}
 
   private static final int EVENT_LOOPS = 2;
-  private static final int CONNECTIONS_PER_LOOP = 64;
+  private static final int CONNECTIONS_PER_LOOP = 500;
   private static final int MAX_WAITING = 100_000;
 
   private final int port;
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
@@ -34,6 +34,7 @@
   private static final int TARGETS = 2;
   private static final int CAPACITY_PER_S = TARGETS * SLOTS * 1_000 / (int) SERVICE_MS;
   private static final String DEADLINE_MS = "200";
+  private static final long DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long SETTLE_MS = 1_500;
 
   private final Vertx vertx;
@@ -71,7 +72,7 @@
       mesh.inbound("back", new SlowTarget().start());
     }
     LoadClient client = new LoadClient(vertx, outbound.port(), "back");
-    new OpenLoop(1, rate).run(TimeUnit.SECONDS.toNanos(2), nanos -> send(client, "/warm/" + nanos));
+    new OpenLoop(1, rate).run(TimeUnit.SECONDS.toNanos(2), nanos -> send(client, "/warm/", nanos));
     Thread.sleep(SETTLE_MS);
     ran.clear();
     claimedNotRun.clear();
@@ -79,17 +80,18 @@
     notRun.reset();
     int calls =
         new OpenLoop(2, rate)
-            .run(TimeUnit.SECONDS.toNanos(seconds), nanos -> send(client, "/load/" + nanos));
+            .run(TimeUnit.SECONDS.toNanos(seconds), nanos -> send(client, "/load/", nanos));
     Thread.sleep(SETTLE_MS);
     return calls;
   }
 
-  private void send(LoadClient client, String uri) {
+  private void send(LoadClient client, String path, long intendedNanos) {
+    String uri = path + intendedNanos;
     client
         .send(HttpMethod.GET, uri, Buffer.buffer(), DEADLINE_MS)
         .onSuccess(
             answer -> {
-              if (answer.status() == 200) {
+              if (answer.status() == 200 && System.nanoTime() - intendedNanos <= DEADLINE_NANOS) {
                 good.increment();
               } else if ("not-run".equals(answer.outcome())) {
                 notRun.increment();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
@@ -7,22 +7,32 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Liveness check of one connection to another node.
+ * Liveness check of one connection to another node; confined to the event loop of the connection.
  *
- * <p>It pings every 500 ms and closes the connection when a ping is unanswered for 1,500 ms, so
- * that a connection that went silent is found within 2 s.
+ * <p>Any answer proves the connection alive, so a ping is sent only when calls are in flight and
+ * nothing was heard for {@link #INTERVAL_MS}. A connection that leaves a ping unanswered for 500 ms
+ * takes no new calls; one that leaves it unanswered for 1,750 ms is closed, which is within 2 s of
+ * its silence.
  */
 final class ConnectionWatch {
 
   private static final Logger LOG = LogManager.getLogger(ConnectionWatch.class);
-  private static final long INTERVAL_MS = 500;
-  private static final int MAX_UNANSWERED = 3;
+  private static final long INTERVAL_MS = 250;
+  private static final int SUSPECT_TICKS = 3;
+  private static final int DEAD_TICKS = 8;
+
+  /** Longer than the time until the connection is closed as silent. */
+  private static final long SHUTDOWN_MS = 60_000;
+
   private static final Buffer PING = Buffer.buffer(new byte[8]);
 
   private final Vertx vertx;
   private final HttpConnection connection;
   private final RequestPathCounters counters;
-  private int unanswered;
+  private int inFlight;
+  private boolean heard;
+  private boolean suspected;
+  private int silentTicks;
   private long timerId;
 
   ConnectionWatch(Vertx vertx, HttpConnection connection, RequestPathCounters counters) {
@@ -31,22 +41,47 @@
     this.counters = counters;
   }
 
-  void start() {
-    timerId = vertx.setPeriodic(INTERVAL_MS, id -> check());
+  void start(Runnable onClosed) {
+    timerId = vertx.setPeriodic(INTERVAL_MS, id -> tick());
     // The calls on the connection report its loss themselves.
     connection.exceptionHandler(error -> {});
-    connection.closeHandler(ignored -> vertx.cancelTimer(timerId));
+    connection.closeHandler(
+        ignored -> {
+          vertx.cancelTimer(timerId);
+          onClosed.run();
+        });
+  }
+
+  void callStarted() {
+    inFlight++;
+  }
+
+  void callEnded() {
+    inFlight--;
   }
 
-  private void check() {
-    if (unanswered >= MAX_UNANSWERED) {
-      vertx.cancelTimer(timerId);
+  /** Records that something arrived on the connection. */
+  void onHeard() {
+    heard = true;
+  }
+
+  private void tick() {
+    if (heard || inFlight == 0) {
+      heard = false;
+      silentTicks = 0;
+      return;
+    }
+    silentTicks++;
+    if (silentTicks == 1) {
+      connection.ping(PING).onSuccess(answer -> heard = true);
+    } else if (silentTicks == SUSPECT_TICKS && !suspected) {
+      suspected = true;
+      // New calls get a new connection, while those in flight may still be answered.
+      connection.shutdown(SHUTDOWN_MS);
+    } else if (silentTicks == DEAD_TICKS) {
       counters.silentConnections.increment();
       LOG.info("Connection to {} went silent and is replaced", connection.remoteAddress());
       connection.close();
-      return;
     }
-    unanswered++;
-    connection.ping(PING).onSuccess(answer -> unanswered = 0);
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/NodeClient.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/NodeClient.java
@@ -11,7 +11,10 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.IdentityHashMap;
+import java.util.Map;
 import org.acaciapond.routing.target.TargetEndpoint;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Client of the inbound listeners of other nodes, for one event loop.
@@ -29,6 +32,9 @@
 
   private final HttpClient client;
 
+  /** Read and written on the event loop of this client only. */
+  private final Map<HttpConnection, ConnectionWatch> watches = new IdentityHashMap<>();
+
   NodeClient(Vertx vertx, RequestPathCounters counters) {
     HttpClientOptions options =
         new HttpClientOptions()
@@ -49,8 +55,15 @@
             .build();
   }
 
-  private static void watch(Vertx vertx, HttpConnection connection, RequestPathCounters counters) {
-    new ConnectionWatch(vertx, connection, counters).start();
+  private void watch(Vertx vertx, HttpConnection connection, RequestPathCounters counters) {
+    ConnectionWatch watch = new ConnectionWatch(vertx, connection, counters);
+    watches.put(connection, watch);
+    watch.start(() -> watches.remove(connection));
+  }
+
+  /** Returns the watch of a connection, or null when it is closed. */
+  @Nullable ConnectionWatch watchOf(HttpConnection connection) {
+    return watches.get(connection);
   }
 
   /** Returns a request on the connection to a node, connecting first when there is none. */
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -33,6 +33,7 @@
   private final CallAttempts attempts;
   private Set<String> tried = Set.of();
   private @Nullable TargetChoice choice;
+  private @Nullable ConnectionWatch watch;
   private AttemptResult answerResult = AttemptResult.ANSWERED;
 
   OutboundCall(
@@ -97,6 +98,11 @@
 
   @Override
   void prepare(HttpClientRequest outgoing) {
+    ConnectionWatch found = client.watchOf(outgoing.connection());
+    watch = found;
+    if (found != null) {
+      found.callStarted();
+    }
     long leftMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(leftNanos()));
     outgoing.putHeader(MeshHeaders.CALLER, context.holder().current().scope().ownService());
     outgoing.putHeader(MeshHeaders.CALL_ID, callId);
@@ -113,6 +119,10 @@
 
   @Override
   void onAnswer(HttpClientResponse response) {
+    ConnectionWatch current = watch;
+    if (current != null) {
+      current.onHeard();
+    }
     AttemptResult result = answerResultOf(response);
     if (result == AttemptResult.ANSWERED
         || result == AttemptResult.TARGET_ERROR
@@ -202,6 +212,11 @@
   }
 
   private void report(TargetChoice ended, AttemptResult result) {
+    ConnectionWatch current = watch;
+    watch = null;
+    if (current != null) {
+      current.callEnded();
+    }
     long latencyNanos = ended.end(result);
     context
         .listener()
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
@@ -36,6 +36,7 @@
   private int attempt;
   private boolean sent;
   private boolean answering;
+  private long answerLeftBytes = -1;
   private boolean done;
 
   ProxiedCall(
@@ -138,6 +139,7 @@
   private void connected(int current, AsyncResult<HttpClientRequest> result) {
     if (done || current != attempt) {
       if (result.succeeded()) {
+        result.result().exceptionHandler(error -> {});
         result.result().reset();
       }
       return;
@@ -200,7 +202,8 @@
       answer.setChunked(true);
     }
     response.exceptionHandler(error -> cut(End.ANSWER_CUT));
-    response.endHandler(ignored -> answerEnded());
+    answerLeftBytes = answerLength(response);
+    response.endHandler(ignored -> answerEnded(null));
     response.handler(data -> passOnData(response, answer, data));
   }
 
@@ -209,8 +212,30 @@
     return request.method() != HttpMethod.HEAD && status != NO_CONTENT && status != NOT_MODIFIED;
   }
 
-  private static void passOnData(
-      HttpClientResponse response, HttpServerResponse answer, Buffer data) {
+  /** Returns the length of the body that follows, or -1 when the answer does not state it. */
+  private long answerLength(HttpClientResponse response) {
+    String length = response.getHeader("content-length");
+    if (length == null || !mayHaveBody(response)) {
+      return -1;
+    }
+    try {
+      return Long.parseLong(length);
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  private void passOnData(HttpClientResponse response, HttpServerResponse answer, Buffer data) {
+    if (done) {
+      return;
+    }
+    if (answerLeftBytes > 0) {
+      answerLeftBytes -= data.length();
+      if (answerLeftBytes == 0) {
+        answerEnded(data);
+        return;
+      }
+    }
     answer.write(data);
     if (answer.writeQueueFull()) {
       response.pause();
@@ -221,9 +246,18 @@
   /** Changes the headers of an answer that is passed on. */
   abstract void prepareAnswer(HttpServerResponse answer);
 
-  private void answerEnded() {
+  /**
+   * Ends the answer with its last data. An answer of stated length ends with its last byte: the
+   * caller takes it for whole then, and a loss of the upstream connection before the end of the
+   * stream must not cut the connection of the caller.
+   */
+  private void answerEnded(@Nullable Buffer last) {
     if (finish()) {
-      request.response().end();
+      if (last == null) {
+        request.response().end();
+      } else {
+        request.response().end(last);
+      }
       if (!body.hasEnded()) {
         // The target answered without reading the whole body, so the rest is not sent.
         abandonAttempt();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxyListener.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxyListener.java
@@ -101,6 +101,8 @@
       connection.close();
       return;
     }
+    // The calls on the connection report its loss themselves.
+    connection.exceptionHandler(error -> {});
     connection.closeHandler(ignored -> connections.decrementAndGet());
   }
 
