--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/Evidence.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/Evidence.java
@@ -65,8 +65,7 @@
               latency.add(i, cell.getAndSet(i, 0));
             }
           }
-          result.add(
-              new RouteCounts(key.service, key.version, key.route, calls, errors, latency));
+          result.add(new RouteCounts(key.service, key.version, key.route, calls, errors, latency));
         });
     return result;
   }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/EvidenceInbox.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/EvidenceInbox.java
@@ -43,8 +43,7 @@
     return refused;
   }
 
-  private static @Nullable Seen advance(
-      @Nullable Seen seen, EvidenceSummary summary) {
+  private static @Nullable Seen advance(@Nullable Seen seen, EvidenceSummary summary) {
     long interval = summary.interval();
     if (seen == null || summary.incarnation() > seen.incarnation) {
       return new Seen(summary.incarnation(), interval, 1);
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/JudgeSettings.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/JudgeSettings.java
@@ -85,12 +85,6 @@
   /** Returns a copy that counts the latency of cold targets. */
   public JudgeSettings withoutColdCare() {
     return new JudgeSettings(
-        method,
-        falseAlarmShare,
-        holdNats,
-        agreementNats,
-        sickWitnessShare,
-        restartIntervals,
-        0);
+        method, falseAlarmShare, holdNats, agreementNats, sickWitnessShare, restartIntervals, 0);
   }
 }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Scores.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Scores.java
@@ -13,9 +13,7 @@
   static final int[] SLOW_SIZES = {1, 2, 4, 8};
 
   /** Index of the first ratio of each metric. */
-  static final int[] FIRST = {
-    0, ERROR_SIZES.length, ERROR_SIZES.length + SLOW_SIZES.length
-  };
+  static final int[] FIRST = {0, ERROR_SIZES.length, ERROR_SIZES.length + SLOW_SIZES.length};
 
   /** Number of ratios of each metric. */
   static final int[] SIZES = {ERROR_SIZES.length, SLOW_SIZES.length, SLOW_SIZES.length};
@@ -51,8 +49,7 @@
   }
 
   /** Adds the evidence on calls slower than a bucket, new ones shifted by the tolerance. */
-  static void addSlow(
-      double[] scores, Metric metric, Block block, int bucket, Baseline baseline) {
+  static void addSlow(double[] scores, Metric metric, Block block, int bucket, Baseline baseline) {
     int newSlow = block.newLatency().countFrom(bucket + 1);
     int oldSlow = block.oldLatency().countFrom(bucket);
     double usual = baseline.shareFrom(bucket);
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
@@ -87,6 +87,9 @@
     pending = null;
     if (row.state() == RolloutState.TAKEN_BACK) {
       takenBack = true;
+      // The judge that proved the fault may have died before its fact spread.
+      TakenBack fact = new TakenBack(row.service(), row.to());
+      decisions.add(new Decision.TakeBack(fact, row.reason()));
     }
     announce(row, decisions);
   }
@@ -124,6 +127,10 @@
   }
 
   private void onTick(RolloutEvent.Tick tick, List<Decision> decisions) {
+    if (leased && reading) {
+      // The last read was lost or failed; reading again is harmless.
+      decisions.add(new Decision.ReadRow());
+    }
     RolloutRow present = row;
     if (present == null) {
       return;
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutRow.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutRow.java
@@ -60,18 +60,7 @@
   /** Returns the row in another state with the same grant. */
   public RolloutRow in(RolloutState next, String why, long epoch) {
     return new RolloutRow(
-        service,
-        from,
-        to,
-        next,
-        share,
-        targets,
-        grantNumber,
-        epoch,
-        why,
-        startedAt,
-        by,
-        updatedAt);
+        service, from, to, next, share, targets, grantNumber, epoch, why, startedAt, by, updatedAt);
   }
 
   /** Returns the grant that this row records. */
