--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/ControllerStrategy.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/ControllerStrategy.java
@@ -36,8 +36,7 @@
     RolloutPacer pacer = new RolloutPacer(policy.paceSettings());
     this.controller = new RolloutController(pacer, invariants, test.targets());
     Instant by = Instant.EPOCH.plusMillis((long) (test.bySeconds() * 1000));
-    this.row =
-        RolloutRow.started(Traffic.SERVICE, Traffic.OLD, Traffic.NEW, 0, Instant.EPOCH, by);
+    this.row = RolloutRow.started(Traffic.SERVICE, Traffic.OLD, Traffic.NEW, 0, Instant.EPOCH, by);
     carryOut(controller.handle(new RolloutEvent.LeaseHeld(1)));
   }
 
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/Policy.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/Policy.java
@@ -7,13 +7,14 @@
 import org.acaciapond.rollout.judgement.TestMethod;
 import org.acaciapond.rollout.pace.PaceSettings;
 
-/** Way of deciding a rollout: the product's, the baseline, and the product without one mechanism. */
+/**
+ * Way of deciding a rollout: the product's, the baseline, and the product without one mechanism.
+ */
 enum Policy {
   STANDARD(UnaryOperator.identity(), PaceSettings.DEFAULTS),
   FIXED_SCHEDULE(UnaryOperator.identity(), PaceSettings.DEFAULTS),
-  CONFIDENCE_SEQUENCE(
-      judge -> judge.withMethod(TestMethod.CONFIDENCE_SEQUENCE), PaceSettings.DEFAULTS),
-  FIXED_WINDOW(judge -> judge.withMethod(TestMethod.FIXED_WINDOW), PaceSettings.DEFAULTS),
+  CONFIDENCE_SEQUENCE(method(TestMethod.CONFIDENCE_SEQUENCE), PaceSettings.DEFAULTS),
+  FIXED_WINDOW(method(TestMethod.FIXED_WINDOW), PaceSettings.DEFAULTS),
   NO_AGREEMENT(JudgeSettings::withoutAgreement, PaceSettings.DEFAULTS),
   NO_RESTARTS(JudgeSettings::withoutRestarts, PaceSettings.DEFAULTS),
   NO_HOLD(JudgeSettings::withoutHold, PaceSettings.DEFAULTS),
@@ -28,6 +29,10 @@
     this.pace = pace;
   }
 
+  private static UnaryOperator<JudgeSettings> method(TestMethod method) {
+    return judge -> judge.withMethod(method);
+  }
+
   static Optional<Policy> named(String name) {
     for (Policy policy : values()) {
       if (policy.label().equals(name)) {
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RandomCases.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RandomCases.java
@@ -64,8 +64,7 @@
     return size + time + load + (fault.route() == null ? "" : "-route");
   }
 
-  private static RolloutCase.Fault fault(
-      Random random, double by, List<RolloutCase.Route> routes) {
+  private static RolloutCase.Fault fault(Random random, double by, List<RolloutCase.Route> routes) {
     int kind = random.nextInt(KINDS);
     boolean error = random.nextBoolean();
     double size =
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutReport.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutReport.java
@@ -33,7 +33,15 @@
     String head = "%-44s %6s %7s %7s %9s %9s %9s %9s%n";
     text.append(
         String.format(
-            Locale.ROOT, head, "case", "kind", "right", "max", "over.05", "bad calls", "p50 s",
+            Locale.ROOT,
+            head,
+            "case",
+            "kind",
+            "right",
+            "max",
+            "over.05",
+            "bad calls",
+            "p50 s",
             "p99 s"));
     for (CaseResults each : all) {
       text.append(line(each));
