Set the judge's margins, cold care and share of sick witnesses from harder trial cases

Changes: 29 in 100 witnesses may be sick, cold care of at least 4 intervals, tolerated errors 0.05%, doubt from 0.3 nats, 60% of the time at the small share.

--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/JudgeSettings.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/JudgeSettings.java
@@ -22,8 +22,8 @@
 
   private static final int MIN_RESTART_INTERVALS = 2;
   private static final int RESTARTS_PER_ROLLOUT = 50;
-  private static final double COLD_SHARE = 0.03;
-  private static final int MIN_COLD_INTERVALS = 1;
+  private static final double COLD_SHARE = 0.05;
+  private static final int MIN_COLD_INTERVALS = 4;
   private static final int MAX_COLD_INTERVALS = 10;
 
   /** Returns the default settings for a rollout of the given length. */
@@ -32,10 +32,10 @@
     int cold = (int) Math.ceil(rolloutIntervals * COLD_SHARE);
     return new JudgeSettings(
         TestMethod.MIXTURE_RATIO,
-        0.001,
-        1.0,
+        0.002,
+        0.3,
         4.0,
-        0.25,
+        0.29,
         restart,
         Math.min(MAX_COLD_INTERVALS, Math.max(MIN_COLD_INTERVALS, cold)));
   }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RouteEvidence.java
@@ -29,7 +29,7 @@
     if (share == 0 || witnesses < 2) {
       return 0;
     }
-    return Math.max(1, (int) Math.ceil(witnesses * share - 0.5));
+    return Math.max(1, (int) ((witnesses + 1) * share));
   }
 
   double sum(int mark, int index) {
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Scores.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/Scores.java
@@ -23,8 +23,8 @@
   /** Length of a score vector: log ratios, then excess and variance of each metric. */
   static final int LENGTH = RATIOS + 2 * Metric.values().length;
 
-  // Added errors of up to 0.1% and 5% of the old share are not worth a take-back.
-  private static final double TOLERATED_ERRORS = 0.001;
+  // Added errors of up to 0.05% and 5% of the old share are not worth a take-back.
+  private static final double TOLERATED_ERRORS = 0.0005;
   private static final double TOLERATED_ERROR_RATIO = 1.05;
 
   private Scores() {}
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/pace/PaceSettings.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/pace/PaceSettings.java
@@ -24,7 +24,7 @@
 
   /** Default pace. */
   public static final PaceSettings DEFAULTS =
-      new PaceSettings(0.01, 0.05, 0.95, 0.55, 0.92, true, 15, 50);
+      new PaceSettings(0.01, 0.05, 0.95, 0.6, 0.92, true, 15, 50);
 
   /** Returns a copy that spreads every share over all new targets. */
   public PaceSettings withoutLoadTrial() {
