Judge latency by the time in the target and give the demo's targets a service time

The first moves in the demo took back a good version for slow calls: new targets of a small share often lie in another failure domain than the caller, their connections are new, and fractions of a millisecond were compared.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/target/TargetCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/target/TargetCommand.java
@@ -21,14 +21,16 @@
     OptionSpec<Integer> port = integer(parser, "port", 0);
     OptionSpec<Integer> adminPort = integer(parser, "admin-port", 0);
     OptionSpec<Integer> errorPercent = integer(parser, "error-percent", 0);
+    OptionSpec<Integer> latencyMs = integer(parser, "latency-ms", 0);
     OptionSpec<String> version = parser.accepts("version").withRequiredArg().defaultsTo("v1");
     OptionSet options = parser.parse(args);
     Vertx vertx = Vertx.vertx();
     int errors = options.valueOf(errorPercent);
+    int delayMs = options.valueOf(latencyMs);
     String name = options.valueOf(version);
     vertx
         .createHttpServer()
-        .requestHandler(request -> answer(request, name, errors))
+        .requestHandler(request -> answerAfter(vertx, delayMs, request, name, errors))
         .listen(options.valueOf(port), "127.0.0.1")
         .compose(server -> announce(vertx, options.valueOf(adminPort), name, server.actualPort()))
         .onFailure(error -> System.exit(1));
@@ -38,6 +40,15 @@
     return parser.accepts(name).withRequiredArg().ofType(Integer.class).defaultsTo(defaultValue);
   }
 
+  private static void answerAfter(
+      Vertx vertx, int delayMs, HttpServerRequest request, String version, int errorPercent) {
+    if (delayMs == 0) {
+      answer(request, version, errorPercent);
+    } else {
+      vertx.setTimer(delayMs, id -> answer(request, version, errorPercent));
+    }
+  }
+
   private static void answer(HttpServerRequest request, String version, int errorPercent) {
     boolean fail = ThreadLocalRandom.current().nextInt(100) < errorPercent;
     request.response().setStatusCode(fail ? SERVER_ERROR : 200).end(version + "\n");
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -36,5 +36,8 @@
    */
   public static final String DEEPER_OUTCOME = "x-acaciapond-deeper-outcome";
 
+  /** Time from the hand-over to the target until the head of its answer, in microseconds. */
+  public static final String TARGET_TIME_US = "x-acaciapond-target-time-us";
+
   private MeshHeaders() {}
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -35,6 +35,7 @@
   private @Nullable TargetChoice choice;
   private @Nullable ConnectionWatch watch;
   private AttemptResult answerResult = AttemptResult.ANSWERED;
+  private long targetNanos = CallRecord.UNKNOWN_NANOS;
 
   OutboundCall(
       OutboundContext context,
@@ -123,6 +124,7 @@
     if (current != null) {
       current.onHeard();
     }
+    targetNanos = targetNanosOf(response);
     AttemptResult result = answerResultOf(response);
     if (result == AttemptResult.ANSWERED
         || result == AttemptResult.TARGET_ERROR
@@ -135,6 +137,17 @@
     settle(result);
   }
 
+  private static long targetNanosOf(HttpClientResponse response) {
+    String stated = response.getHeader(MeshHeaders.TARGET_TIME_US);
+    try {
+      return stated == null
+          ? CallRecord.UNKNOWN_NANOS
+          : TimeUnit.MICROSECONDS.toNanos(Long.parseLong(stated));
+    } catch (NumberFormatException e) {
+      return CallRecord.UNKNOWN_NANOS;
+    }
+  }
+
   /** Only the receiving node sets the outcome header; it moves one that its target passed on. */
   private static AttemptResult answerResultOf(HttpClientResponse response) {
     String outcome = response.getHeader(MeshHeaders.OUTCOME);
@@ -227,6 +240,8 @@
                 route.path(),
                 ended.endpoint().hostId(),
                 result.outcome(),
-                latencyNanos));
+                latencyNanos,
+                targetNanos));
+    targetNanos = CallRecord.UNKNOWN_NANOS;
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
@@ -19,6 +19,12 @@
 
   private static final double NANOS_PER_US = 1_000;
 
+  /**
+   * Shorter times count as equal. A target with few calls runs less optimised code for longer,
+   * which shows in fractions of a millisecond and harms no caller.
+   */
+  private static final double FLOOR_US = 1_000;
+
   private final RolloutBook book;
   private final String witness;
   private final String failureDomain;
@@ -36,14 +42,20 @@
   public void onCall(CallRecord call) {
     if (book.isWatched(call.service())) {
       evidence.record(
-          call.service(),
-          call.version(),
-          call.route(),
-          resultOf(call.outcome()),
-          call.latencyNanos() / NANOS_PER_US);
+          call.service(), call.version(), call.route(), resultOf(call.outcome()), latencyUs(call));
     }
   }
 
+  /**
+   * Time in the target, not the whole time of the call: the new targets of a small share often lie
+   * in another failure domain than the old ones, and the distance must not count against them.
+   */
+  private static double latencyUs(CallRecord call) {
+    long nanos =
+        call.targetNanos() == CallRecord.UNKNOWN_NANOS ? call.latencyNanos() : call.targetNanos();
+    return Math.max(FLOOR_US, nanos / NANOS_PER_US);
+  }
+
   private static CallResult resultOf(CallOutcome outcome) {
     return switch (outcome) {
       case SUCCESS -> CallResult.SUCCESS;
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallRecord.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallRecord.java
@@ -9,6 +9,8 @@
  * @param hostId host of the chosen target
  * @param outcome how it ended
  * @param latencyNanos time from the choice of the target to the end of the answer
+ * @param targetNanos time that the target took, as the node beside it measured, or {@link
+ *     #UNKNOWN_NANOS}
  */
 public record CallRecord(
     String service,
@@ -16,4 +18,9 @@
     String route,
     String hostId,
     CallOutcome outcome,
-    long latencyNanos) {}
+    long latencyNanos,
+    long targetNanos) {
+
+  /** Time in the target of a call that it did not answer. */
+  public static final long UNKNOWN_NANOS = -1;
+}
