Settle lost answers in the platform client and add leases

Cause: the client made one attempt, reported a lost answer as unknown without looking, and the publisher called an edit a conflict when a later edit had already followed it. The client now retries within a deadline with full jitter behind a circuit breaker, honours Retry-After, and settles a write in doubt by reading the row back.

--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/PlatformClient.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/PlatformClient.java
@@ -20,7 +20,8 @@
    *
    * @param key key of the row
    * @param expectedRevision revision that the row must have; 0 when it must not exist
-   * @param value new value
+   * @param value new value; it must differ from what any other write may store, as a write in doubt
+   *     is settled by comparing values
    */
   Uni<WriteResult> writeRow(String key, long expectedRevision, byte[] value);
 
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/WriteResult.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/WriteResult.java
@@ -12,7 +12,10 @@
   public enum Outcome {
     /** The write is known to have taken effect. */
     APPLIED,
-    /** The write is known not to have taken effect: the row had another revision. */
+    /**
+     * The write is known not to have taken effect, because the row had another revision or the
+     * platform admitted no attempt.
+     */
     NOT_APPLIED,
     /** It is not known whether the write took effect. */
     UNKNOWN
--- /dev/null
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/lease/package-info.java
@@ -0,0 +1,5 @@
+/** Leases kept in rows of the table service. */
+@NullMarked
+package org.acaciapond.platform.client.lease;
+
+import org.jspecify.annotations.NullMarked;
