--- /dev/null
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/package-info.java
@@ -0,0 +1,5 @@
+/** Election of relays and poller candidates by rendezvous hashing. */
+@NullMarked
+package org.acaciapond.distribution.election;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/package-info.java
@@ -0,0 +1,5 @@
+/** Rules that keep a version from being lost or undercut when nodes restart without a disk. */
+@NullMarked
+package org.acaciapond.distribution.floor;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionInvariantsTest.java
@@ -0,0 +1,22 @@
+package org.acaciapond.distribution;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.statistics.Statistics;
+
+/**
+ * Guards invariants I1, I2, I3 and I10 under reordering, duplication, loss, damaged updates,
+ * restarts without a disk and paused pollers.
+ */
+class DistributionInvariantsTest {
+
+  @Property(tries = 1_000)
+  void invariantsHoldAndAllNodesReachTheHeadOnceFaultsEnd(@ForAll long seed) {
+    DistributionSimulation simulation = new DistributionSimulation(seed);
+    for (int phase = 0; phase < 3; phase++) {
+      simulation.runWithFaults(300);
+    }
+    Statistics.label("activated under faults").collect(simulation.activations() > 0);
+    simulation.heal();
+  }
+}
--- /dev/null
+++ b/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionSimulation.java
@@ -0,0 +1,352 @@
+package org.acaciapond.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import org.acaciapond.config.model.MeshConfig;
+import org.acaciapond.config.model.ServiceConfig;
+import org.acaciapond.config.model.VersionConfig;
+import org.acaciapond.config.snapshot.Snapshot;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.config.version.ServiceSlice;
+import org.acaciapond.distribution.floor.HolderTally;
+import org.acaciapond.distribution.floor.StartFloor;
+import org.acaciapond.distribution.update.ConfigUpdate;
+import org.acaciapond.distribution.update.ContentDelta;
+import org.acaciapond.distribution.update.MeshState;
+import org.acaciapond.distribution.update.ScopedContent;
+import org.acaciapond.distribution.update.SubscriptionFeed;
+import org.acaciapond.distribution.update.UpdateReceiver;
+
+/** One domain in memory: pollers, keepers and leaves joined by an unreliable network. */
+final class DistributionSimulation {
+
+  private static final int POLLERS = 2;
+  private static final int KEEPERS = 3;
+  private static final int LEAVES = 4;
+  private static final int SERVICES = 5;
+
+  /** Keeper or leaf. */
+  private final class Node {
+    private final String name;
+    private final boolean keeper;
+    private final Map<Node, SubscriptionFeed> feeds = new HashMap<>();
+    private UpdateReceiver<?> receiver;
+    private ConfigVersion highestActive = ConfigVersion.NONE;
+    private MeshState active = MeshState.empty();
+    private boolean settled = true;
+
+    private Node(String name, boolean keeper) {
+      this.name = name;
+      this.keeper = keeper;
+      this.receiver = newReceiver();
+    }
+
+    private String service() {
+      return "service-" + name.charAt(name.length() - 1);
+    }
+
+    private UpdateReceiver<?> newReceiver() {
+      if (!keeper) {
+        return new UpdateReceiver<>(
+            Snapshot.empty(service()),
+            (version, content) ->
+                Snapshot.build(
+                    version, content.scope(service()), List.copyOf(content.slices().values())));
+      }
+      MeshState[] previous = {MeshState.empty()};
+      return new UpdateReceiver<>(
+          previous[0],
+          (version, content) -> previous[0] = MeshState.of(version, content, previous[0]));
+    }
+
+    /** Loses all state; takes a floor from all other keepers but one. */
+    private void restart() {
+      receiver = newReceiver();
+      active = MeshState.empty();
+      feeds.clear();
+      settled = false;
+      StartFloor floor = new StartFloor();
+      List<Node> others = keepers.stream().filter(node -> node != this).toList();
+      floor.setKeepers(others.stream().map(node -> node.name).toList());
+      Node silent = others.get(random.nextInt(others.size()));
+      for (Node other : others) {
+        if (other != silent && other.settled) {
+          floor.onAnswer(other.name, other.receiver.version());
+        }
+      }
+      // A node that hears too few keepers takes the head of the platform instead.
+      receiver.raiseFloor(floor.floor().orElseGet(() -> accepted.get(head).version()));
+      settled = receiver.version().compareTo(floorOrHead(floor)) >= 0;
+    }
+
+    private ConfigVersion floorOrHead(StartFloor floor) {
+      return floor.floor().orElseGet(() -> accepted.get(head).version());
+    }
+
+    private void onUpdate(ConfigUpdate update, Runnable resubscribe) {
+      UpdateReceiver.Decision decision = receiver.offer(update);
+      if (decision == UpdateReceiver.Decision.NEEDS_FULL) {
+        send(resubscribe);
+      } else if (decision == UpdateReceiver.Decision.ACCEPTED) {
+        settled = true;
+        checkContent();
+        if (!keeper) {
+          activate(receiver.version());
+        }
+      }
+    }
+
+    private void checkContent() {
+      MeshState truth = accepted.get((int) receiver.version().sequence());
+      ScopedContent expected = keeper ? truth.whole() : truth.contentFor(service());
+      assertEquals(truth.version(), receiver.version(), context());
+      assertEquals(expected.digest(), receiver.content().digest(), "I3 " + context());
+      if (receiver.state() instanceof Snapshot snapshot) {
+        for (ServiceConfig service : snapshot.services().values()) {
+          assertTrue(
+              service.versions().contains(new VersionConfig(service.currentVersion())),
+              "I2 " + context());
+          assertFalse(
+              service.name().equals(service())
+                  && !snapshot.services().keySet().containsAll(service.dependsOn()),
+              "I2 " + context());
+        }
+      }
+    }
+
+    private void onHolders(ConfigVersion version, int otherHolders) {
+      if (settled
+          && version.equals(receiver.version())
+          && receiver.state() instanceof MeshState state
+          && HolderTally.mayActivate(otherHolders, KEEPERS - 1)
+          && version.isAfter(active.version())) {
+        active = state;
+        activate(version);
+        pushToLeaves();
+      }
+    }
+
+    private void pushToLeaves() {
+      feeds.forEach(
+          (leaf, feed) -> feed.advance(active).ifPresent(update -> sendUpdate(leaf, update, this)));
+    }
+
+    private void subscribe(Node leaf, ConfigVersion version, String digest) {
+      SubscriptionFeed feed =
+          new SubscriptionFeed(state -> state.contentFor(leaf.service()), version, digest);
+      feeds.put(leaf, feed);
+      feed.advance(active).ifPresent(update -> sendUpdate(leaf, update, this));
+    }
+
+    private void sendUpdate(Node leaf, ConfigUpdate update, Node from) {
+      send(() -> leaf.onUpdate(damage(update), () -> from.subscribe(leaf, NONE, "")));
+    }
+
+    private void activate(ConfigVersion version) {
+      activations++;
+      assertTrue(version.compareTo(highestActive) >= 0, "I1 " + context());
+      highestActive = version;
+    }
+
+    private String context() {
+      return name + " seed " + seed;
+    }
+  }
+
+  /** Poller that reads the head unless it is paused, in which case it repeats what it knew. */
+  private final class Poller {
+    private final Map<Node, SubscriptionFeed> feeds = new HashMap<>();
+    private final Map<Node, ConfigVersion> acks = new HashMap<>();
+    private MeshState known = MeshState.empty();
+
+    private void step(boolean paused) {
+      if (!paused) {
+        known = accepted.get(head);
+      }
+      for (Node keeper : keepers) {
+        feeds
+            .computeIfAbsent(keeper, node -> new SubscriptionFeed(MeshState::whole, NONE, ""))
+            .advance(known)
+            .ifPresent(update -> sendUpdate(keeper, update));
+        ConfigVersion version = keeper.receiver.version();
+        send(() -> acks.put(keeper, version));
+        int others =
+            (int)
+                acks.entrySet().stream()
+                    .filter(ack -> ack.getKey() != keeper)
+                    .filter(ack -> ack.getValue().compareTo(known.version()) >= 0)
+                    .count();
+        ConfigVersion held = known.version();
+        send(() -> keeper.onHolders(held, others));
+      }
+    }
+
+    private void sendUpdate(Node keeper, ConfigUpdate update) {
+      send(() -> keeper.onUpdate(damage(update), () -> feeds.remove(keeper)));
+    }
+
+    private void forget() {
+      feeds.clear();
+    }
+  }
+
+  private static final ConfigVersion NONE = ConfigVersion.NONE;
+
+  private final long seed;
+  private final SplittableRandom random;
+  private final List<MeshState> accepted = new ArrayList<>(List.of(MeshState.empty()));
+  private final List<Runnable> network = new ArrayList<>();
+  private final List<Node> keepers = new ArrayList<>();
+  private final List<Node> leaves = new ArrayList<>();
+  private final List<Poller> pollers = new ArrayList<>();
+  private int head;
+  private int activations;
+  private boolean faulty = true;
+
+  DistributionSimulation(long seed) {
+    this.seed = seed;
+    this.random = new SplittableRandom(seed);
+    for (int i = 0; i < KEEPERS; i++) {
+      keepers.add(new Node("keeper-" + i, true));
+    }
+    for (int i = 0; i < LEAVES; i++) {
+      leaves.add(new Node("leaf-" + i, false));
+    }
+    for (int i = 0; i < POLLERS; i++) {
+      pollers.add(new Poller());
+    }
+  }
+
+  private void send(Runnable message) {
+    network.add(message);
+  }
+
+  /** Damages an update now and then, as a sender with a fault would. */
+  private ConfigUpdate damage(ConfigUpdate update) {
+    if (!faulty || update.delta().changed().isEmpty() || random.nextInt(20) > 0) {
+      return update;
+    }
+    List<ServiceSlice> part = update.delta().changed().subList(1, update.delta().changed().size());
+    ContentDelta partial =
+        new ContentDelta(
+            part,
+            update.delta().removed(),
+            update.delta().callersAdded(),
+            update.delta().callersRemoved());
+    return new ConfigUpdate(update.version(), update.baseDigest(), partial, update.resultDigest());
+  }
+
+  private void edit() {
+    List<ServiceConfig> services = new ArrayList<>();
+    int count = 1 + random.nextInt(SERVICES);
+    for (int i = 0; i < count; i++) {
+      List<String> dependsOn = new ArrayList<>();
+      for (int j = 0; j < count; j++) {
+        if (j != i && random.nextInt(3) == 0) {
+          dependsOn.add("service-" + j);
+        }
+      }
+      String version = "v" + random.nextInt(3);
+      services.add(
+          new ServiceConfig(
+              "service-" + i,
+              dependsOn,
+              false,
+              List.of(),
+              null,
+              List.of(new VersionConfig(version)),
+              version,
+              null));
+    }
+    int sequence = head + 1;
+    accepted.add(
+        MeshState.of(
+            new ConfigVersion(1, sequence, "digest-" + sequence),
+            new MeshConfig(services),
+            accepted.get(head)));
+    head = sequence;
+  }
+
+  private void deliverOne() {
+    if (network.isEmpty()) {
+      return;
+    }
+    int index = random.nextInt(network.size());
+    Runnable message = network.get(index);
+    boolean duplicated = faulty && random.nextInt(5) == 0;
+    if (!duplicated) {
+      network.remove(index);
+    }
+    if (!faulty || random.nextInt(5) > 0) {
+      message.run();
+    }
+  }
+
+  private void subscribe(Node leaf) {
+    Node keeper = keepers.get(random.nextInt(KEEPERS));
+    ConfigVersion version = leaf.receiver.version();
+    String digest = leaf.receiver.content().digest();
+    send(() -> keeper.subscribe(leaf, version, digest));
+  }
+
+  /** At most one keeper is down or behind its floor at a time, as the floor rule requires. */
+  private void restartKeeper() {
+    if (keepers.stream().allMatch(keeper -> keeper.settled)) {
+      keepers.get(random.nextInt(KEEPERS)).restart();
+    }
+  }
+
+  void runWithFaults(int steps) {
+    List<Function<DistributionSimulation, Runnable>> rare =
+        List.of(
+            s -> s::edit,
+            s -> s::restartKeeper,
+            s -> () -> s.leaves.get(s.random.nextInt(LEAVES)).restart(),
+            s -> () -> s.pollers.get(s.random.nextInt(POLLERS)).forget(),
+            s -> () -> s.subscribe(s.leaves.get(s.random.nextInt(LEAVES))));
+    for (int step = 0; step < steps; step++) {
+      int choice = random.nextInt(60);
+      if (choice < rare.size()) {
+        rare.get(choice).apply(this).run();
+      } else if (choice < 12) {
+        pollers.get(random.nextInt(POLLERS)).step(random.nextInt(3) == 0);
+      } else {
+        deliverOne();
+        deliverOne();
+      }
+    }
+  }
+
+  /** Returns how often a node put a version in force. */
+  int activations() {
+    return activations;
+  }
+
+  /** Ends the faults and checks that every node reaches the head. */
+  void heal() {
+    faulty = false;
+    // A node that stays behind opens a new subscription, which a silent loss is repaired by.
+    pollers.forEach(Poller::forget);
+    for (int round = 0; round < 6; round++) {
+      pollers.forEach(poller -> poller.step(false));
+      leaves.forEach(this::subscribe);
+      while (!network.isEmpty()) {
+        deliverOne();
+      }
+    }
+    for (Node keeper : keepers) {
+      assertEquals(head, keeper.active.version().sequence(), "I10 " + keeper.context());
+    }
+    for (Node leaf : leaves) {
+      assertEquals(head, leaf.receiver.version().sequence(), "I10 " + leaf.context());
+    }
+  }
+}
