--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/codec/DistributionCodecs.java
@@ -0,0 +1,21 @@
+package org.acaciapond.protocol.codec;
+
+import java.util.List;
+
+/** Codecs of the messages of distribution, which have the type numbers 20 to 39. */
+public final class DistributionCodecs {
+
+  /** All of them. */
+  public static final List<MessageCodec<?>> ALL =
+      List.of(
+          new InviteMessageCodec(),
+          new SubscribeMessageCodec(),
+          new UpdateMessageCodec(),
+          new VersionMessageCodec(),
+          new HeldMessageCodec(),
+          new HoldersMessageCodec(),
+          new FloorRequestMessageCodec(),
+          new FloorAnswerMessageCodec());
+
+  private DistributionCodecs() {}
+}
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/FloorAnswerMessage.java
@@ -0,0 +1,11 @@
+package org.acaciapond.protocol.message;
+
+import org.acaciapond.config.version.ConfigVersion;
+
+/**
+ * Answer to a {@link FloorRequestMessage}.
+ *
+ * @param hostId host that answers
+ * @param held highest version that it holds
+ */
+public record FloorAnswerMessage(String hostId, ConfigVersion held) implements Message {}
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/FloorRequestMessage.java
@@ -0,0 +1,8 @@
+package org.acaciapond.protocol.message;
+
+/**
+ * Question of a starting node for the highest version that a keeper holds.
+ *
+ * @param hostId host that asks
+ */
+public record FloorRequestMessage(String hostId) implements Message {}
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/HeldMessage.java
@@ -0,0 +1,11 @@
+package org.acaciapond.protocol.message;
+
+import org.acaciapond.config.version.ConfigVersion;
+
+/**
+ * Report that a keeper holds a version.
+ *
+ * @param hostId host of the keeper
+ * @param version version that it holds
+ */
+public record HeldMessage(String hostId, ConfigVersion version) implements Message {}
