Distribute versions by pollers and relays, and add the converge experiment

The node setting distribution is relay (default) or poll (baseline). Only pollers parse the whole text; keepers decode changed slices, leaves their scope.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package org.acaciapond.bench;
 
 import java.util.Arrays;
+import org.acaciapond.bench.converge.ConvergeCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
 /** Entry point of the binary {@code acaciapond-bench}; exits 2 on wrong options. */
@@ -18,7 +19,10 @@
       TargetCommand.run(rest);
       return;
     }
-    System.err.println("usage: acaciapond-bench target [options]");
+    if (command.equals("converge")) {
+      System.exit(ConvergeCommand.run(rest));
+    }
+    System.err.println("usage: acaciapond-bench target|converge [options]");
     System.exit(EXIT_BAD_INPUT);
   }
 }
--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
@@ -22,9 +22,13 @@
     held.remove(hostId);
   }
 
-  /** Returns how many hosts hold a version or a later one. */
-  public int count(ConfigVersion version) {
-    return (int) held.values().stream().filter(v -> v.compareTo(version) >= 0).count();
+  /** Returns how many hosts other than one hold a version or a later one. */
+  public int countOthers(String hostId, ConfigVersion version) {
+    return (int)
+        held.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(hostId))
+            .filter(entry -> entry.getValue().compareTo(version) >= 0)
+            .count();
   }
 
   /**
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeSettings.java
@@ -1,7 +1,9 @@
 package org.acaciapond.node;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.acaciapond.common.settings.SettingDescriptor;
+import org.acaciapond.node.distribution.DistributionSettings;
 
 /** Descriptors of the settings of a node. */
 public final class NodeSettings {
@@ -66,7 +68,7 @@
 
   /** All settings of a node. */
   public static final List<SettingDescriptor<?>> ALL =
-      List.of(
+      withDistribution(
           HOST_ID,
           SERVICE,
           FAILURE_DOMAIN,
@@ -83,6 +85,12 @@
 
   private NodeSettings() {}
 
+  private static List<SettingDescriptor<?>> withDistribution(SettingDescriptor<?>... own) {
+    return Stream.concat(Stream.of(own), DistributionSettings.ALL.stream())
+        .<SettingDescriptor<?>>map(descriptor -> descriptor)
+        .toList();
+  }
+
   private static SettingDescriptor<Long> port(String name, String description) {
     return SettingDescriptor.integer(name, description, null, 0, 65_535);
   }
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
@@ -0,0 +1,151 @@
+package org.acaciapond.node.distribution;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.acaciapond.distribution.election.DomainRoles;
+import org.acaciapond.distribution.election.RendezvousHash;
+import org.acaciapond.distribution.update.ConfigUpdate;
+import org.acaciapond.distribution.update.UpdateReceiver;
+import org.acaciapond.membership.Member;
+import org.acaciapond.protocol.message.HeldMessage;
+import org.acaciapond.protocol.message.HoldersMessage;
+import org.acaciapond.protocol.message.Message;
+import org.acaciapond.protocol.message.SubscribeMessage;
+import org.acaciapond.protocol.message.UpdateMessage;
+import org.acaciapond.protocol.message.VersionMessage;
+import org.acaciapond.protocol.transport.PeerConnection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Subscription of a keeper to the whole configuration: of the poller that invites it, or of a relay
+ * of another domain while no poller does.
+ */
+final class KeeperRole {
+
+  /** Longer than the poller lease, so that a change of poller does not cause it. */
+  private static final long MAX_UNINVITED_NANOS = Duration.ofSeconds(4).toNanos();
+
+  private final DistributionContext context;
+  private final ConfigStore store;
+  private long invitedAtNanos;
+  private @Nullable PeerConnection upstream;
+  private @Nullable PeerConnection foreign;
+  private boolean connecting;
+  private int attempt;
+
+  KeeperRole(DistributionContext context, ConfigStore store) {
+    this.context = context;
+    this.store = store;
+    this.invitedAtNanos = context.time().nanoTime();
+  }
+
+  /** Subscribes to a poller that invites this node, unless it does already. */
+  void onInvite(PeerConnection source) {
+    invitedAtNanos = context.time().nanoTime();
+    PeerConnection old = foreign;
+    foreign = null;
+    if (old != null && old != source) {
+      old.close();
+    }
+    if (upstream != source) {
+      upstream = source;
+      subscribe(source, store.wholeDigest());
+    }
+  }
+
+  /** Returns whether a poller invited this node recently. */
+  boolean isInvited() {
+    return context.time().nanoTime() - invitedAtNanos < MAX_UNINVITED_NANOS;
+  }
+
+  /** Subscribes to another domain while this node is a keeper that no poller invites. */
+  void tick(boolean isKeeper) {
+    if (isKeeper && !isInvited() && foreign == null && !connecting) {
+      foreignRelay().ifPresent(this::connectForeign);
+    }
+  }
+
+  private void connectForeign(Member relay) {
+    connecting = true;
+    context.connect(relay, this::onForeignOpen, this::onMessage, this::onForeignEnd);
+  }
+
+  private void onForeignOpen(PeerConnection opened) {
+    connecting = false;
+    if (isInvited()) {
+      opened.close();
+      return;
+    }
+    foreign = opened;
+    upstream = opened;
+    subscribe(opened, store.wholeDigest());
+  }
+
+  private void onForeignEnd() {
+    connecting = false;
+    attempt++;
+    if (foreign != null) {
+      upstream = upstream == foreign ? null : upstream;
+      foreign = null;
+    }
+  }
+
+  /**
+   * Returns the relay to subscribe to; all keepers of a domain make the same choice, because that
+   * relay tells them how many of them hold a version.
+   */
+  private Optional<Member> foreignRelay() {
+    String ownDomain = context.self().failureDomain();
+    List<Member> others =
+        context.membership().members().stream()
+            .filter(member -> !member.failureDomain().equals(ownDomain))
+            .toList();
+    List<String> domains =
+        RendezvousHash.rank(
+            "upstream/" + ownDomain, others.stream().map(Member::failureDomain).toList());
+    if (domains.isEmpty()) {
+      return Optional.empty();
+    }
+    DomainRoles roles = context.roles(domains.get(attempt % domains.size()));
+    List<String> relays = RendezvousHash.rank("upstream/" + ownDomain, roles.relays());
+    String wanted = relays.get(attempt / domains.size() % relays.size());
+    return others.stream().filter(member -> member.hostId().equals(wanted)).findFirst();
+  }
+
+  private void subscribe(PeerConnection target, String heldDigest) {
+    Member self = context.self();
+    target.send(
+        new SubscribeMessage(
+            self.hostId(), self.failureDomain(), "", store.wholeVersion(), heldDigest));
+  }
+
+  /** Receives a message of the upstream; those of other connections are ignored. */
+  void onMessage(PeerConnection source, Message message) {
+    if (source != upstream) {
+      return;
+    }
+    if (message instanceof UpdateMessage update) {
+      offer(source, UpdateMessages.fromMessage(update));
+    } else if (message instanceof VersionMessage version) {
+      offer(source, UpdateMessages.fromMessage(version, store.wholeDigest()));
+    } else if (message instanceof HoldersMessage holders) {
+      store.activateHeld(holders.version());
+    }
+  }
+
+  private void offer(PeerConnection source, ConfigUpdate update) {
+    UpdateReceiver.Decision decision = store.offerWhole(update);
+    if (decision == UpdateReceiver.Decision.NEEDS_FULL) {
+      subscribe(source, "");
+    } else if (decision == UpdateReceiver.Decision.ACCEPTED) {
+      source.send(new HeldMessage(context.self().hostId(), store.wholeVersion()));
+    }
+  }
+
+  void onClose(PeerConnection closed) {
+    if (upstream == closed) {
+      upstream = null;
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
@@ -0,0 +1,168 @@
+package org.acaciapond.node.distribution;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.distribution.floor.HolderTally;
+import org.acaciapond.distribution.update.MeshState;
+import org.acaciapond.distribution.update.SubscriptionFeed;
+import org.acaciapond.protocol.message.HeldMessage;
+import org.acaciapond.protocol.message.HoldersMessage;
+import org.acaciapond.protocol.message.SubscribeMessage;
+import org.acaciapond.protocol.transport.PeerConnection;
+
+/**
+ * Subscriptions of other nodes to this one.
+ *
+ * <p>Leaves and keepers of other domains get what is in force here; keepers of the own domain,
+ * which only subscribe to a poller, get what is held. Used on one event loop.
+ */
+final class Subscribers {
+
+  /** Checks without an acknowledgement after which an update is sent again as a whole. */
+  private static final int MAX_SILENT_CHECKS = 3;
+
+  private static final class Subscriber {
+    private final SubscribeMessage request;
+    private SubscriptionFeed feed;
+    private ConfigVersion acknowledged;
+    private ConfigVersion notified = ConfigVersion.NONE;
+    private int silentChecks;
+
+    private Subscriber(SubscribeMessage request) {
+      this.request = request;
+      this.acknowledged = request.held();
+      this.feed = newFeed(request.held(), request.heldDigest());
+    }
+
+    private boolean wantsWhole() {
+      return request.service().isEmpty();
+    }
+
+    private boolean awaitsHolders(String domain, ConfigVersion version) {
+      return wantsWhole()
+          && request.domain().equals(domain)
+          && acknowledged.compareTo(version) >= 0
+          && version.isAfter(notified);
+    }
+
+    private SubscriptionFeed newFeed(ConfigVersion held, String digest) {
+      String service = request.service();
+      return wantsWhole()
+          ? new SubscriptionFeed(MeshState::whole, held, digest)
+          : new SubscriptionFeed(state -> state.contentFor(service), held, digest);
+    }
+  }
+
+  private final String ownDomain;
+  private final ConfigStore store;
+  private final ToIntFunction<String> keeperCount;
+  private final Map<PeerConnection, Subscriber> byConnection = new HashMap<>();
+  private final Map<String, HolderTally> tallies = new HashMap<>();
+
+  /**
+   * Creates subscriptions.
+   *
+   * @param ownDomain failure domain of this node
+   * @param store versions of this node
+   * @param keeperCount returns how many keepers a failure domain has
+   */
+  Subscribers(String ownDomain, ConfigStore store, ToIntFunction<String> keeperCount) {
+    this.ownDomain = ownDomain;
+    this.store = store;
+    this.keeperCount = keeperCount;
+  }
+
+  void subscribe(PeerConnection connection, SubscribeMessage request) {
+    Subscriber subscriber = new Subscriber(request);
+    byConnection.put(connection, subscriber);
+    if (subscriber.wantsWhole()) {
+      tally(request.domain()).record(request.hostId(), request.held());
+    }
+    push(connection, subscriber);
+  }
+
+  void remove(PeerConnection connection) {
+    Subscriber gone = byConnection.remove(connection);
+    if (gone != null && gone.wantsWhole()) {
+      tally(gone.request.domain()).remove(gone.request.hostId());
+    }
+  }
+
+  /** Sends each subscriber what it lacks. */
+  void pushAll() {
+    byConnection.forEach(this::push);
+  }
+
+  private void push(PeerConnection connection, Subscriber subscriber) {
+    subscriber
+        .feed
+        .advance(source(subscriber))
+        .ifPresent(update -> connection.send(UpdateMessages.toMessage(update)));
+  }
+
+  private MeshState source(Subscriber subscriber) {
+    boolean own = subscriber.wantsWhole() && subscriber.request.domain().equals(ownDomain);
+    return own ? store.held() : store.active();
+  }
+
+  /** Records an acknowledgement of a keeper. */
+  void onHeld(PeerConnection connection, HeldMessage held) {
+    Subscriber subscriber = byConnection.get(connection);
+    if (subscriber == null || !subscriber.wantsWhole()) {
+      return;
+    }
+    subscriber.acknowledged = held.version();
+    subscriber.silentChecks = 0;
+    String domain = subscriber.request.domain();
+    tally(domain).record(subscriber.request.hostId(), held.version());
+    notifyHolders(domain, held.version());
+  }
+
+  /** Tells the keepers of a domain that hold a version once enough others do. */
+  private void notifyHolders(String domain, ConfigVersion version) {
+    int otherKeepers = keeperCount.applyAsInt(domain) - 1;
+    byConnection.forEach(
+        (connection, subscriber) -> {
+          if (!subscriber.awaitsHolders(domain, version)) {
+            return;
+          }
+          int others = tally(domain).countOthers(subscriber.request.hostId(), version);
+          if (HolderTally.mayActivate(others, otherKeepers)) {
+            subscriber.notified = version;
+            connection.send(new HoldersMessage(version, others));
+          }
+        });
+  }
+
+  /** Records that this node, itself a keeper, holds a version. */
+  void recordOwn(String hostId, ConfigVersion version) {
+    tally(ownDomain).record(hostId, version);
+    notifyHolders(ownDomain, version);
+  }
+
+  /** Returns how many keepers of the own domain other than this node hold a version. */
+  int otherHolders(String hostId, ConfigVersion version) {
+    return tally(ownDomain).countOthers(hostId, version);
+  }
+
+  /** Sends the whole again to keepers that do not acknowledge what was sent. */
+  void resendUnacknowledged() {
+    byConnection.forEach(
+        (connection, subscriber) -> {
+          boolean behind = source(subscriber).version().isAfter(subscriber.acknowledged);
+          subscriber.silentChecks =
+              subscriber.wantsWhole() && behind ? subscriber.silentChecks + 1 : 0;
+          if (subscriber.silentChecks >= MAX_SILENT_CHECKS) {
+            subscriber.silentChecks = 0;
+            subscriber.feed = subscriber.newFeed(subscriber.acknowledged, "");
+            push(connection, subscriber);
+          }
+        });
+  }
+
+  private HolderTally tally(String domain) {
+    return tallies.computeIfAbsent(domain, name -> new HolderTally());
+  }
+}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/AnnounceService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/AnnounceService.java
@@ -82,6 +82,16 @@
     return targets.getOrDefault(service, List.of());
   }
 
+  /** Returns the record of this node. */
+  public MemberRecord selfRecord() {
+    return self.get();
+  }
+
+  /** Returns the records of all known nodes, this one among them. */
+  public List<MemberRecord> knownRecords() {
+    return List.copyOf(members.values());
+  }
+
   /** Receives a message of another node. */
   public void onMessage(Message message) {
     if (message instanceof AnnounceMessage announce) {
