Keep distribution going after the crash of a keeper or a whole restart

Cause, found by tests over real nodes: (1) after the crash of one of three keepers the others waited for it until the members dropped it, and a poller that became a keeper later never counted itself; (2) keepers that restarted while the platform was down had no poller to get the whole configuration from. Domains now have four keepers, holders are counted anew each second, and a keeper that lacks what is in force takes it from another keeper of its domain.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
@@ -3,9 +3,9 @@
 import com.sun.management.OperatingSystemMXBean;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
-import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.Arrays;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -38,7 +38,7 @@
   private final Fleet fleet;
   private int published;
 
-  private ConvergeCommand(Vertx vertx, ConvergeOptions options) throws IOException {
+  private ConvergeCommand(Vertx vertx, ConvergeOptions options) {
     this.options = options;
     this.platform = new PlatformServer(vertx, "127.0.0.1", 0);
     platform.start().await().indefinitely();
@@ -97,7 +97,7 @@
       boolean broken =
           result.getLong("versions_regressed") > 0 || result.getLong("dangling_routes") > 0;
       return broken ? EXIT_FAILED : EXIT_DONE;
-    } catch (IOException | IllegalStateException e) {
+    } catch (CompletionException | IllegalStateException e) {
       System.err.println("converge: " + e.getMessage());
       return EXIT_FAILED;
     } catch (InterruptedException e) {
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Fleet.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Fleet.java
@@ -4,9 +4,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -36,19 +33,19 @@
 
   private final List<Vertx> loops = new ArrayList<>();
   private final List<NodeProcess> nodes = new ArrayList<>();
+  private final FixedMembers members = new FixedMembers();
+  private final ConvergeOptions options;
   private final InvariantWatch watch = new InvariantWatch();
   private volatile Wave wave = new Wave(0, new CountDownLatch(0));
 
   /** Creates the nodes; they are not started yet. */
-  Fleet(ConvergeOptions options, int platformPort) throws IOException {
+  Fleet(ConvergeOptions options, int platformPort) {
+    this.options = options;
     for (int i = 0; i < Math.min(MAX_EVENT_LOOPS, options.nodes()); i++) {
       loops.add(Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(WORKERS)));
     }
-    FixedMembers members = new FixedMembers();
-    List<Integer> ports = freePorts(options.nodes());
     for (int i = 0; i < options.nodes(); i++) {
-      Member self = member(options, i, ports.get(i));
-      members.add(self);
+      Member self = member(options, i, 0);
       NodeProcess node =
           new NodeProcess(
               loops.get(i % loops.size()),
@@ -62,21 +59,6 @@
     }
   }
 
-  /** Returns ports that were free a moment ago; peers must know them before nodes listen. */
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP));
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
-
   private static Member member(ConvergeOptions options, int index, int peerPort) {
     return new Member(
         "host-" + index,
@@ -100,7 +82,7 @@
         .put("ip", IP)
         .put("outbound_port", 0)
         .put("inbound_port", 0)
-        .put("peer_port", self.peerPort())
+        .put("peer_port", 0)
         .put("admin_port", 0)
         .put("seeds", new JsonArray())
         .put("platform", IP + ":" + platformPort)
@@ -117,8 +99,12 @@
     }
   }
 
+  /** Starts the nodes; each is known to the others once its port is. */
   void start() {
-    nodes.forEach(node -> node.start().await().indefinitely());
+    for (int i = 0; i < nodes.size(); i++) {
+      nodes.get(i).start().await().indefinitely();
+      members.add(member(options, i, nodes.get(i).peerAddress().port()));
+    }
   }
 
   void stop() {
--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
@@ -9,7 +9,7 @@
  * Roles that the members of a failure domain have.
  *
  * @param relays hosts that leaves subscribe to
- * @param keepers hosts that hold the whole configuration: the relays, and at least three
+ * @param keepers hosts that hold the whole configuration: the relays, and at least four
  * @param pollerCandidates hosts that may take the poller lease, in order of rank
  */
 public record DomainRoles(
@@ -19,10 +19,11 @@
   private static final int MIN_RELAYS = 2;
 
   /**
-   * Least number of keepers: a keeper activates a version that two others hold, and a starting node
-   * hears all keepers but one, so with three it always hears one that holds the version.
+   * Least number of keepers: a keeper activates a version that two others hold, so that with four
+   * the crash of one holds up no version until the members drop it. A starting node hears all
+   * keepers but one, so it always hears one that holds the version.
    */
-  private static final int MIN_KEEPERS = 3;
+  private static final int MIN_KEEPERS = 4;
 
   private static final int POLLER_CANDIDATES = 4;
   private static final long MIN_ATTEMPT_DELAY_MS = 500;
--- a/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionSimulation.java
+++ b/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionSimulation.java
@@ -29,7 +29,7 @@
 final class DistributionSimulation {
 
   private static final int POLLERS = 2;
-  private static final int KEEPERS = 3;
+  private static final int MIN_KEEPERS = 3;
   private static final int LEAVES = 4;
   private static final int SERVICES = 5;
 
@@ -126,7 +126,7 @@
       if (settled
           && version.equals(receiver.version())
           && receiver.state() instanceof MeshState state
-          && HolderTally.mayActivate(otherHolders, KEEPERS - 1)
+          && HolderTally.mayActivate(otherHolders, keeperCount - 1)
           && version.isAfter(active.version())) {
         active = state;
         activate(version);
@@ -202,6 +202,7 @@
 
   private final long seed;
   private final SplittableRandom random;
+  private final int keeperCount;
   private final List<MeshState> accepted = new ArrayList<>(List.of(MeshState.empty()));
   private final List<Runnable> network = new ArrayList<>();
   private final List<Node> keepers = new ArrayList<>();
@@ -214,7 +215,8 @@
   DistributionSimulation(long seed) {
     this.seed = seed;
     this.random = new SplittableRandom(seed);
-    for (int i = 0; i < KEEPERS; i++) {
+    this.keeperCount = MIN_KEEPERS + random.nextInt(2);
+    for (int i = 0; i < keeperCount; i++) {
       keepers.add(new Node("keeper-" + i, true));
     }
     for (int i = 0; i < LEAVES; i++) {
@@ -291,7 +293,7 @@
   }
 
   private void subscribe(Node leaf) {
-    Node keeper = keepers.get(random.nextInt(KEEPERS));
+    Node keeper = keepers.get(random.nextInt(keeperCount));
     ConfigVersion version = leaf.receiver.version();
     String digest = leaf.receiver.content().digest();
     send(() -> keeper.subscribe(leaf, version, digest));
@@ -300,7 +302,7 @@
   /** At most one keeper is down or behind its floor at a time, as the floor rule requires. */
   private void restartKeeper() {
     if (keepers.stream().allMatch(keeper -> keeper.settled)) {
-      keepers.get(random.nextInt(KEEPERS)).restart();
+      keepers.get(random.nextInt(keeperCount)).restart();
     }
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ConfigStore.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ConfigStore.java
@@ -66,7 +66,17 @@
 
   /** Returns whether this node has caught up with its floor, so that its answers count. */
   boolean hasReachedFloor() {
-    return held.version().compareTo(floor) >= 0;
+    return highestVersion().compareTo(floor) >= 0;
+  }
+
+  /** Returns whether the whole configuration is held at the floor and at what is in force here. */
+  boolean isComplete() {
+    return held.version().compareTo(floor) >= 0 && held.version().compareTo(versionInForce()) >= 0;
+  }
+
+  /** Returns the highest version held, of the whole or of the own scope. */
+  ConfigVersion highestVersion() {
+    return versionInForce().isAfter(held.version()) ? versionInForce() : held.version();
   }
 
   /** Takes an update of the own scope and puts it in force at once. */
@@ -113,7 +123,7 @@
     if (!held.version().equals(version)) {
       return;
     }
-    if (!held.version().isAfter(active.version()) || !hasReachedFloor()) {
+    if (!held.version().isAfter(active.version()) || !isComplete()) {
       return;
     }
     active = held;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -101,7 +101,8 @@
         new Subscribers(
             context.self().failureDomain(),
             store,
-            domain -> context.roles(domain).keepers().size());
+            domain -> context.roles(domain).keepers().size(),
+            this::isPoller);
     roles =
         new Roles(
             new FloorRole(context, platform),
@@ -113,6 +114,11 @@
     timers.add(vertx.setPeriodic(START_TICK_MS, id -> findFloor(id)));
   }
 
+  private boolean isPoller() {
+    Roles current = roles;
+    return current != null && current.poller().isPoller();
+  }
+
   private void findFloor(long timerId) {
     Roles current = roles;
     if (current == null) {
@@ -147,6 +153,10 @@
     boolean keeper = domain.keepers().contains(self.hostId());
     current.keeper().tick(keeper && !poller);
     current.leaf().tick(!poller && !keeper);
+    if (poller && keeper) {
+      current.subscribers().recordOwn(self.hostId(), store.held().version());
+    }
+    current.subscribers().notifyAllHolders();
     current.subscribers().resendUnacknowledged();
     current.poller().activateIfHeld();
   }
@@ -197,7 +207,7 @@
   /** Answers only once this node has caught up itself; its answer could be too low before. */
   private void answerFloor(Roles current, PeerConnection connection) {
     if (current.floor().floor().isPresent() && store.hasReachedFloor()) {
-      connection.send(new FloorAnswerMessage(context.self().hostId(), store.held().version()));
+      connection.send(new FloorAnswerMessage(context.self().hostId(), store.highestVersion()));
     } else {
       connection.close();
     }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
@@ -18,8 +18,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Subscription of a keeper to the whole configuration: of the poller that invites it, or of a relay
- * of another domain while no poller does.
+ * Subscription of a keeper to the whole configuration: of the poller that invites it; of another
+ * keeper of the domain while it lacks what is in force there; or of a relay of another domain while
+ * no poller invites it.
  */
 final class KeeperRole {
 
@@ -31,6 +32,7 @@
   private long invitedAtNanos;
   private @Nullable PeerConnection upstream;
   private @Nullable PeerConnection foreign;
+  private boolean foreignIsSibling;
   private boolean connecting;
   private int attempt;
 
@@ -59,21 +61,48 @@
     return context.time().nanoTime() - invitedAtNanos < MAX_UNINVITED_NANOS;
   }
 
-  /** Subscribes to another domain while this node is a keeper that no poller invites. */
+  /** Subscribes to another keeper or domain while no poller provides for this keeper. */
   void tick(boolean isKeeper) {
-    if (isKeeper && !isInvited() && foreign == null && !connecting) {
-      foreignRelay().ifPresent(this::connectForeign);
+    if (foreign != null && foreignIsSibling && store.isComplete()) {
+      foreign.close();
+    }
+    if (!isKeeper || foreign != null || connecting) {
+      return;
+    }
+    if (!store.isComplete()) {
+      connectForeign(sibling(), true);
+    } else if (!isInvited()) {
+      connectForeign(foreignRelay(), false);
+    }
+  }
+
+  private void connectForeign(Optional<Member> target, boolean isSibling) {
+    if (target.isPresent()) {
+      connecting = true;
+      foreignIsSibling = isSibling;
+      context.connect(target.get(), this::onForeignOpen, this::onMessage, this::onForeignEnd);
     }
   }
 
-  private void connectForeign(Member relay) {
-    connecting = true;
-    context.connect(relay, this::onForeignOpen, this::onMessage, this::onForeignEnd);
+  /** Returns another keeper of the own domain, a different one at each attempt. */
+  private Optional<Member> sibling() {
+    Member self = context.self();
+    List<String> keepers =
+        context.roles(self.failureDomain()).keepers().stream()
+            .filter(id -> !id.equals(self.hostId()))
+            .toList();
+    if (keepers.isEmpty()) {
+      return Optional.empty();
+    }
+    String wanted = keepers.get(attempt % keepers.size());
+    return context.membership().domainMembers(self.failureDomain()).stream()
+        .filter(member -> member.hostId().equals(wanted))
+        .findFirst();
   }
 
   private void onForeignOpen(PeerConnection opened) {
     connecting = false;
-    if (isInvited()) {
+    if (upstream != null) {
       opened.close();
       return;
     }
@@ -140,6 +169,10 @@
       subscribe(source, "");
     } else if (decision == UpdateReceiver.Decision.ACCEPTED) {
       source.send(new HeldMessage(context.self().hostId(), store.wholeVersion()));
+      if (source == foreign && foreignIsSibling) {
+        // In force at a keeper of the own domain, so enough keepers held it already.
+        store.activateHeld(store.held().version());
+      }
     }
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
@@ -1,7 +1,9 @@
 package org.acaciapond.node.distribution;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.ToIntFunction;
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.distribution.floor.HolderTally;
@@ -15,8 +17,8 @@
 /**
  * Subscriptions of other nodes to this one.
  *
- * <p>Leaves and keepers of other domains get what is in force here; keepers of the own domain,
- * which only subscribe to a poller, get what is held. Used on one event loop.
+ * <p>A poller sends the keepers of its domain what it holds; all other subscribers get what is in
+ * force here. Used on one event loop.
  */
 final class Subscribers {
 
@@ -58,6 +60,7 @@
   private final String ownDomain;
   private final ConfigStore store;
   private final ToIntFunction<String> keeperCount;
+  private final BooleanSupplier isPoller;
   private final Map<PeerConnection, Subscriber> byConnection = new HashMap<>();
   private final Map<String, HolderTally> tallies = new HashMap<>();
 
@@ -67,8 +70,14 @@
    * @param ownDomain failure domain of this node
    * @param store versions of this node
    * @param keeperCount returns how many keepers a failure domain has
+   * @param isPoller returns whether this node is the poller of its domain
    */
-  Subscribers(String ownDomain, ConfigStore store, ToIntFunction<String> keeperCount) {
+  Subscribers(
+      String ownDomain,
+      ConfigStore store,
+      ToIntFunction<String> keeperCount,
+      BooleanSupplier isPoller) {
+    this.isPoller = isPoller;
     this.ownDomain = ownDomain;
     this.store = store;
     this.keeperCount = keeperCount;
@@ -104,7 +113,7 @@
 
   private MeshState source(Subscriber subscriber) {
     boolean own = subscriber.wantsWhole() && subscriber.request.domain().equals(ownDomain);
-    return own ? store.held() : store.active();
+    return own && isPoller.getAsBoolean() ? store.held() : store.active();
   }
 
   /** Records an acknowledgement of a keeper. */
@@ -136,6 +145,14 @@
         });
   }
 
+  /** Notifies keepers anew, as the number of keepers may have become smaller. */
+  void notifyAllHolders() {
+    for (String domain : List.copyOf(tallies.keySet())) {
+      boolean own = domain.equals(ownDomain) && isPoller.getAsBoolean();
+      notifyHolders(domain, (own ? store.held() : store.active()).version());
+    }
+  }
+
   /** Records that this node, itself a keeper, holds a version. */
   void recordOwn(String hostId, ConfigVersion version) {
     tally(ownDomain).record(hostId, version);
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/distribution/DistributionServiceTest.java
@@ -0,0 +1,89 @@
+package org.acaciapond.node.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against edits that do not arrive after the failure of one part of distribution. */
+class DistributionServiceTest {
+
+  private static final int NODES = 6;
+
+  private static List<String> startDomain(TestMesh mesh, String domain) {
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < NODES; i++) {
+      names.add(domain + "-" + i);
+      mesh.startNode(names.get(i), domain);
+    }
+    return names;
+  }
+
+  @Test
+  void anEditArrivesWhicheverNodeCrashedBeforeIt() throws Exception {
+    try (TestMesh mesh = new TestMesh()) {
+      mesh.awaitAll(0);
+      List<String> names = startDomain(mesh, "d");
+      mesh.awaitAll(mesh.publish("back", 1));
+      for (int i = 0; i < NODES; i++) {
+        mesh.crash(names.get(i));
+        mesh.awaitAll(mesh.publish("back", 10 + i));
+        mesh.startNode(names.get(i), "d");
+        mesh.awaitAll(mesh.publish("back", 100 + i));
+      }
+    }
+  }
+
+  @Test
+  void aNodeThatRestartsWhileThePlatformIsDownTakesTheVersionOfItsDomain() throws Exception {
+    try (TestMesh mesh = new TestMesh()) {
+      List<String> names = startDomain(mesh, "d");
+      long sequence = mesh.publish("back", 1);
+      mesh.awaitAll(sequence);
+      mesh.setFault("{\"mode\":\"down\"}");
+      for (String name : names) {
+        mesh.crash(name);
+        mesh.startNode(name, "d");
+        mesh.awaitAll(sequence);
+      }
+      mesh.setFault("{\"mode\":\"none\"}");
+      mesh.awaitAll(mesh.publish("back", 2));
+    }
+  }
+
+  @Test
+  void aDomainCutOffFromThePlatformFollowsTheOtherDomain() throws Exception {
+    try (TestMesh mesh = new TestMesh()) {
+      startDomain(mesh, "a");
+      int link = mesh.openLink();
+      for (int i = 0; i < NODES; i++) {
+        mesh.startNode("b-" + i, "b", link);
+      }
+      mesh.awaitAll(mesh.publish("back", 1));
+      mesh.cutLink();
+      mesh.awaitAll(mesh.publish("back", 2));
+      mesh.awaitAll(mesh.publish("back", 3));
+    }
+  }
+
+  @Test
+  void anEditThatBreaksARuleIsInForceNowhereAndTheNextOneArrives() throws Exception {
+    try (TestMesh mesh = new TestMesh()) {
+      startDomain(mesh, "d");
+      mesh.awaitAll(mesh.publish("back", 1));
+      mesh.publish("absent", 2);
+      mesh.awaitAll(mesh.publish("back", 3));
+    }
+  }
+
+  @Test
+  void editsArriveWhenThePlatformLosesAnswersAndIsSlow() throws Exception {
+    try (TestMesh mesh = new TestMesh()) {
+      startDomain(mesh, "d");
+      mesh.awaitAll(mesh.publish("back", 1));
+      mesh.setFault("{\"mode\":\"lose-answers\",\"probability\":0.3,\"seed\":5}");
+      mesh.awaitAll(mesh.publish("back", 2));
+      mesh.setFault("{\"mode\":\"slow\",\"delay_ms\":300,\"probability\":0.5,\"seed\":6}");
+      mesh.awaitAll(mesh.publish("back", 3));
+    }
+  }
+}
