--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.acaciapond.common.lifecycle.ManagedService;
@@ -32,6 +33,9 @@
   private static final long TICK_MS = 1_000;
   private static final long START_TICK_MS = 200;
 
+  /** Ten seconds; leaves read the platform by then if no keeper answers. */
+  private static final int REPORT_AFTER_START_TICKS = 50;
+
   private final Vertx vertx;
   private final DistributionContext context;
   private final PlatformClient platform;
@@ -40,7 +44,8 @@
   private final String ownService;
   private final long pollIntervalMs;
   private final Set<Long> timers = new HashSet<>();
-  private @Nullable Roles roles;
+  private volatile @Nullable Roles roles;
+  private int startTicks;
 
   /** Roles of the node, which exist from the start of the service. */
   private record Roles(
@@ -114,6 +119,17 @@
     timers.add(vertx.setPeriodic(START_TICK_MS, id -> findFloor(id)));
   }
 
+  /** Returns what a starting node still waits for; empty once it knows its floor. */
+  public Optional<String> waitingFor() {
+    Roles current = roles;
+    if (current == null) {
+      return Optional.of("the start of the service");
+    }
+    return current.floor().floor().isPresent()
+        ? Optional.empty()
+        : Optional.of(current.floor().waitingFor());
+  }
+
   private boolean isPoller() {
     Roles current = roles;
     return current != null && current.poller().isPoller();
@@ -126,6 +142,10 @@
     }
     Member self = context.self();
     current.floor().tick(context.roles(self.failureDomain()));
+    startTicks++;
+    if (startTicks == REPORT_AFTER_START_TICKS) {
+      LOG.warn("Not ready: waiting for {}", current.floor().waitingFor());
+    }
     current
         .floor()
         .floor()
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
@@ -27,6 +27,9 @@
   /** Longer than the poller lease, so that a change of poller does not cause it. */
   private static final long MAX_UNINVITED_NANOS = Duration.ofSeconds(4).toNanos();
 
+  /** Longer than keepers need to reach one relay and acknowledge a version. */
+  private static final int MAX_UNCONFIRMED_CHECKS = 5;
+
   private final DistributionContext context;
   private final ConfigStore store;
   private long invitedAtNanos;
@@ -34,7 +37,9 @@
   private @Nullable PeerConnection foreign;
   private boolean foreignIsSibling;
   private boolean connecting;
-  private int attempt;
+  private int siblingAttempt;
+  private int foreignAttempt;
+  private int unconfirmedChecks;
 
   KeeperRole(DistributionContext context, ConfigStore store) {
     this.context = context;
@@ -66,6 +71,7 @@
     if (foreign != null && foreignIsSibling && store.isComplete()) {
       foreign.close();
     }
+    leaveForeignThatDoesNotConfirm();
     if (!isKeeper || foreign != null || connecting) {
       return;
     }
@@ -76,6 +82,22 @@
     }
   }
 
+  /**
+   * Starts again at the first relay when a held version is not confirmed; the keepers of a domain
+   * may have come to different relays, each of which counts only some of them.
+   */
+  private void leaveForeignThatDoesNotConfirm() {
+    boolean waits =
+        foreign != null
+            && !foreignIsSibling
+            && store.held().version().isAfter(store.active().version());
+    unconfirmedChecks = waits ? unconfirmedChecks + 1 : 0;
+    if (foreign != null && unconfirmedChecks >= MAX_UNCONFIRMED_CHECKS) {
+      unconfirmedChecks = 0;
+      foreign.close();
+    }
+  }
+
   private void connectForeign(Optional<Member> target, boolean isSibling) {
     if (target.isPresent()) {
       connecting = true;
@@ -94,7 +116,7 @@
     if (keepers.isEmpty()) {
       return Optional.empty();
     }
-    String wanted = keepers.get(attempt % keepers.size());
+    String wanted = keepers.get(siblingAttempt % keepers.size());
     return context.membership().domainMembers(self.failureDomain()).stream()
         .filter(member -> member.hostId().equals(wanted))
         .findFirst();
@@ -113,7 +135,11 @@
 
   private void onForeignEnd() {
     connecting = false;
-    attempt++;
+    if (foreignIsSibling) {
+      siblingAttempt++;
+    } else {
+      foreignAttempt = foreign == null ? foreignAttempt + 1 : 0;
+    }
     if (foreign != null) {
       upstream = upstream == foreign ? null : upstream;
       foreign = null;
@@ -136,9 +162,9 @@
     if (domains.isEmpty()) {
       return Optional.empty();
     }
-    DomainRoles roles = context.roles(domains.get(attempt % domains.size()));
+    DomainRoles roles = context.roles(domains.get(foreignAttempt % domains.size()));
     List<String> relays = RendezvousHash.rank("upstream/" + ownDomain, roles.relays());
-    String wanted = relays.get(attempt / domains.size() % relays.size());
+    String wanted = relays.get(foreignAttempt / domains.size() % relays.size());
     return others.stream().filter(member -> member.hostId().equals(wanted)).findFirst();
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/LeafRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/LeafRole.java
@@ -58,7 +58,6 @@
     } else if (current == null) {
       connect();
     } else if (relayIsUnfit()) {
-      attempt++;
       current.close();
     }
   }
