--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.acaciapond.common.lifecycle.ManagedService;
@@ -32,16 +33,20 @@
   private static final long TICK_MS = 1_000;
   private static final long START_TICK_MS = 200;
 
+  /** Ten seconds; leaves read the platform by then if no keeper answers. */
+  private static final int REPORT_AFTER_START_TICKS = 50;
+
   private final Vertx vertx;
   private final DistributionContext context;
   private final PlatformClient platform;
   private final ConfigStore store;
   private final GossipStore gossip;
-  private final SnapshotHolder holder;
   private final String ownService;
   private final long pollIntervalMs;
   private final Set<Long> timers = new HashSet<>();
+  private final SnapshotHolder holder;
   private volatile @Nullable Roles roles;
+  private int startTicks;
 
   /** Roles of the node, which exist from the start of the service. */
   private record Roles(
@@ -80,9 +85,9 @@
     this.context = new DistributionContext(vertx, time, random, membership, transport);
     this.platform = platform;
     this.gossip = gossip;
-    this.holder = holder;
     this.ownService = ownService;
     this.pollIntervalMs = pollIntervalMs;
+    this.holder = holder;
     this.store = new ConfigStore(ownService, holder, gossip);
   }
 
@@ -116,6 +121,23 @@
     timers.add(vertx.setPeriodic(START_TICK_MS, id -> findFloor(id)));
   }
 
+  /** Returns what a starting node still waits for; empty once it knows its floor. */
+  public Optional<String> waitingFor() {
+    Roles current = roles;
+    if (current == null) {
+      return Optional.of("the start of the service");
+    }
+    return current.floor().floor().isPresent()
+        ? Optional.empty()
+        : Optional.of(current.floor().waitingFor());
+  }
+
+  /** Returns whether this node is the poller of its failure domain; safe on any thread. */
+  public boolean isPoller() {
+    Roles current = roles;
+    return current != null && current.poller().isPoller();
+  }
+
   private void findFloor(long timerId) {
     Roles current = roles;
     if (current == null) {
@@ -123,6 +145,10 @@
     }
     Member self = context.self();
     current.floor().tick(context.roles(self.failureDomain()));
+    startTicks++;
+    if (startTicks == REPORT_AFTER_START_TICKS) {
+      LOG.warn("Not ready: waiting for {}", current.floor().waitingFor());
+    }
     current
         .floor()
         .floor()
@@ -163,12 +189,6 @@
     timers.remove(timerId);
   }
 
-  /** Returns whether this node is the poller of its failure domain; safe on any thread. */
-  public boolean isPoller() {
-    Roles current = roles;
-    return current != null && current.poller().isPoller();
-  }
-
   /** Returns whether no version later than the one in force was heard of; safe on any thread. */
   public boolean hasCaughtUp() {
     return GossipHead.read(gossip)
--- a/acaciapond-node/src/test/java/org/acaciapond/node/distribution/TestMesh.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/distribution/TestMesh.java
@@ -61,7 +61,7 @@
             .put("failure_domain", domain)
             .put("ip", IP)
             .put("platform", IP + ":" + platformPort)
-            .put("announce_interval_ms", 200)
+            .put("drain_delay_ms", 100)
             .put("poll_interval_ms", 100)
             .put("seeds", seeds);
     for (String port : new String[] {"outbound", "inbound", "peer", "admin"}) {
