Run the demo by shell and the project's own tools, without Python

The demo has to run where only a JDK and Maven are present. The bench gains the commands load (steady calls with counts by version) and ports (free ports).

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 import org.acaciapond.bench.calls.CallsCommand;
 import org.acaciapond.bench.converge.ConvergeCommand;
+import org.acaciapond.bench.load.LoadCommand;
+import org.acaciapond.bench.load.PortsCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
 import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
@@ -18,6 +20,8 @@
       new TreeMap<>(
           Map.of(
               "target", TargetCommand::run,
+              "load", LoadCommand::run,
+              "ports", PortsCommand::run,
               "calls", args -> System.exit(CallsCommand.run(args)),
               "converge", args -> System.exit(ConvergeCommand.run(args)),
               "membership", MembershipCommand::run,
--- /dev/null
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/load/LoadCounts.java
@@ -0,0 +1,48 @@
+package org.acaciapond.bench.load;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+
+/** Counts of answers by version of the target that gave them. */
+final class LoadCounts {
+
+  private static final String NO_VERSION = "none";
+
+  private final LongAdder calls = new LongAdder();
+  private final LongAdder failed = new LongAdder();
+  private final ConcurrentMap<String, LongAdder> byVersion = new ConcurrentHashMap<>();
+  private final ConcurrentMap<String, Long> lastCallMs = new ConcurrentHashMap<>();
+
+  /**
+   * Counts an answer.
+   *
+   * @param version version that answered, or null without an answer
+   * @param success whether the status was 200
+   * @param nowMs wall-clock time
+   */
+  void count(@Nullable String version, boolean success, long nowMs) {
+    String name = version == null ? NO_VERSION : version;
+    calls.increment();
+    if (!success) {
+      failed.increment();
+    }
+    byVersion.computeIfAbsent(name, v -> new LongAdder()).increment();
+    lastCallMs.put(name, nowMs);
+  }
+
+  /** Returns one line: calls, failed, then for each version its calls and last time. */
+  String line() {
+    StringBuilder line = new StringBuilder();
+    line.append("calls=").append(calls.sum()).append(" failed=").append(failed.sum());
+    for (Map.Entry<String, LongAdder> entry : new TreeMap<>(byVersion).entrySet()) {
+      line.append(' ').append(entry.getKey()).append('=').append(entry.getValue().sum());
+      line.append(' ').append(entry.getKey()).append("_last_ms=");
+      line.append(lastCallMs.getOrDefault(entry.getKey(), 0L));
+    }
+    return line.toString();
+  }
+}
