Leave the times of cold targets out of the evidence

A good version in the demo was taken back for slower calls: its new targets got some ten calls a second and were still cold. Errors count from the first call.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
@@ -120,8 +120,11 @@
       answer.putHeader(MeshHeaders.DEEPER_OUTCOME, deeper);
     }
     answer.putHeader(MeshHeaders.VERSION, target.version());
-    long targetTimeUs = TimeUnit.NANOSECONDS.toMicros(time.nanoTime() - handedOverNanos);
-    answer.putHeader(MeshHeaders.TARGET_TIME_US, Long.toString(targetTimeUs));
+    answer.headers().remove(MeshHeaders.TARGET_TIME_US);
+    if (context.warmth().countCall(target)) {
+      long targetTimeUs = TimeUnit.NANOSECONDS.toMicros(time.nanoTime() - handedOverNanos);
+      answer.putHeader(MeshHeaders.TARGET_TIME_US, Long.toString(targetTimeUs));
+    }
   }
 
   @Override
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundContext.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundContext.java
@@ -12,4 +12,5 @@
     RequestPathOptions options,
     RequestPathCounters counters,
     HopTracer tracer,
-    DrainCoordinator drain) {}
+    DrainCoordinator drain,
+    TargetWarmth warmth) {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -69,7 +69,8 @@
             options,
             counters,
             tracer,
-            new DrainCoordinator(time, TimeUnit.MILLISECONDS.toNanos(options.drainDelayMs())));
+            new DrainCoordinator(time, TimeUnit.MILLISECONDS.toNanos(options.drainDelayMs())),
+            new TargetWarmth(time));
     this.listener =
         new ProxyListener(
             vertx,
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -36,7 +36,10 @@
    */
   public static final String DEEPER_OUTCOME = "x-acaciapond-deeper-outcome";
 
-  /** Time from the hand-over to the target until the head of its answer, in microseconds. */
+  /**
+   * Time from the hand-over to the target until the head of its answer, in microseconds; absent
+   * while the target is cold.
+   */
   public static final String TARGET_TIME_US = "x-acaciapond-target-time-us";
 
   private MeshHeaders() {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
@@ -51,9 +51,9 @@
    * in another failure domain than the old ones, and the distance must not count against them.
    */
   private static double latencyUs(CallRecord call) {
-    long nanos =
-        call.targetNanos() == CallRecord.UNKNOWN_NANOS ? call.latencyNanos() : call.targetNanos();
-    return Math.max(FLOOR_US, nanos / NANOS_PER_US);
+    return call.targetNanos() == CallRecord.UNKNOWN_NANOS
+        ? Double.NaN
+        : Math.max(FLOOR_US, call.targetNanos() / NANOS_PER_US);
   }
 
   private static CallResult resultOf(CallOutcome outcome) {
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/Evidence.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/evidence/Evidence.java
@@ -25,7 +25,10 @@
     this.maxCells = maxCells;
   }
 
-  /** Counts one call; results that say nothing of the version are ignored. */
+  /**
+   * Counts one call; results that say nothing of the version are ignored. A latency that is not a
+   * number is not counted, but the call is.
+   */
   public void record(
       String service, String version, String route, CallResult result, double latencyUs) {
     if (!result.informative()) {
@@ -43,7 +46,7 @@
     cell.incrementAndGet(CALLS);
     if (result == CallResult.ERROR) {
       cell.incrementAndGet(ERRORS);
-    } else {
+    } else if (!Double.isNaN(latencyUs)) {
       cell.incrementAndGet(LatencySketch.bucketOf(latencyUs));
     }
   }
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallRecord.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/call/CallRecord.java
@@ -21,6 +21,6 @@
     long latencyNanos,
     long targetNanos) {
 
-  /** Time in the target of a call that it did not answer. */
+  /** Time in the target of a call that it did not answer, or answered while it was cold. */
   public static final long UNKNOWN_NANOS = -1;
 }
