--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceRecorder.java
@@ -1,5 +1,6 @@
 package org.acaciapond.node.rollout;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,7 @@
   private final String witness;
   private final String failureDomain;
   private final long incarnation;
+  private long lastInterval = Long.MIN_VALUE;
   private final Evidence evidence = new Evidence(MAX_CELLS);
 
   EvidenceRecorder(RolloutBook book, String witness, String failureDomain, long incarnation) {
@@ -66,11 +68,18 @@
     };
   }
 
-  /** Returns one summary for each service called since the last drain. */
-  Map<String, EvidenceSummary> drain(long interval) {
+  /**
+   * Returns one summary for each service called since the last drain.
+   *
+   * <p>Two ticks of one second or a clock set back must not repeat an interval number: judges take
+   * only the first summary of an interval.
+   */
+  Map<String, EvidenceSummary> drain(long second) {
+    long interval = Math.max(second, lastInterval + 1);
+    lastInterval = interval;
     Map<String, List<RouteCounts>> byService = new HashMap<>();
     for (RouteCounts counts : evidence.drain()) {
-      byService.computeIfAbsent(counts.service(), s -> new java.util.ArrayList<>()).add(counts);
+      byService.computeIfAbsent(counts.service(), s -> new ArrayList<>()).add(counts);
     }
     Map<String, EvidenceSummary> summaries = new HashMap<>();
     byService.forEach(
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceSender.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/EvidenceSender.java
@@ -20,6 +20,7 @@
   private final Consumer<Runnable> loop;
   private final Map<PeerAddress, PeerConnection> connections = new HashMap<>();
   private final Set<PeerAddress> connecting = new HashSet<>();
+  private boolean closed;
 
   /**
    * Creates a sender.
@@ -53,12 +54,17 @@
 
   private void onOpen(PeerAddress address, PeerConnection connection, EvidenceMessage first) {
     connecting.remove(address);
+    if (closed) {
+      connection.close();
+      return;
+    }
     connections.put(address, connection);
     connection.onClose(() -> loop.accept(() -> connections.remove(address, connection)));
     connection.send(first);
   }
 
   void close() {
+    closed = true;
     Map.copyOf(connections).values().forEach(PeerConnection::close);
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
@@ -43,6 +43,6 @@
             .map(Member::hostId)
             .toList();
     int rank = RendezvousHash.rank("witness/" + self.service(), peers).indexOf(self.hostId());
-    return rank < WITNESSES_PER_DOMAIN;
+    return rank >= 0 && rank < WITNESSES_PER_DOMAIN;
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/MoveStarter.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/MoveStarter.java
@@ -13,6 +13,8 @@
 /** Decision whether the move in the text starts now, waits, or cannot be met in time. */
 final class MoveStarter {
 
+  private static final String WAITING = "waiting for targets: ";
+
   private final RolloutPacer pacer;
 
   MoveStarter(RolloutPacer pacer) {
@@ -55,8 +57,19 @@
   }
 
   /** A recorded move that has not been granted anything yet may still be waiting for targets. */
-  private static boolean isWaiting(RolloutRow row) {
-    return row.state() == RolloutState.MOVING && row.reason().startsWith("waiting");
+  static boolean isWaiting(RolloutRow row) {
+    return row.state() == RolloutState.MOVING
+        && row.share() == 0
+        && row.reason().startsWith(WAITING);
+  }
+
+  /** Returns why the move in the text does not start yet although the known row is of another. */
+  static Optional<String> obstacle(ServiceConfig config, Optional<RolloutRow> present) {
+    MoveConfig move = config.move();
+    return present
+        .filter(row -> move != null && row.state() == RolloutState.MOVING && !isWaiting(row))
+        .filter(row -> move != null && !row.to().equals(move.toVersion()))
+        .map(row -> "waiting for the end of the move from " + row.from() + " to " + row.to());
   }
 
   /** Returns the row to record now, or empty when nothing changes. */
@@ -81,6 +94,9 @@
     Duration shortest = pacer.shortest(Math.max(1, counts.newTargets()));
     if (now.plus(shortest).isAfter(move.by())) {
       String why = "the set time leaves less than the " + shortest.toSeconds() + " s needed";
+      if (before != null && isWaiting(before) && before.to().equals(move.toVersion())) {
+        why += "; " + before.reason();
+      }
       return Optional.of(row(config, move, before, now, epoch).in(RolloutState.LATE, why, epoch));
     }
     if (counts.isEnough()) {
@@ -96,8 +112,7 @@
       Counts counts,
       long epoch,
       Instant now) {
-    String why =
-        "waiting for targets: " + counts.newTargets() + " new beside " + counts.oldTargets();
+    String why = WAITING + counts.newTargets() + " new beside " + counts.oldTargets();
     if (before != null && isWaiting(before) && before.reason().equals(why)) {
       return Optional.empty();
     }
@@ -107,7 +122,8 @@
   /** A late move of the same version goes on from its share; any other starts from nothing. */
   private static RolloutRow row(
       ServiceConfig config, MoveConfig move, @Nullable RolloutRow before, Instant now, long epoch) {
-    long lastGrant = before == null ? 0 : before.grantNumber();
+    // The first row takes the share of another move's version away, so it is a grant of its own.
+    long lastGrant = before == null ? 0 : before.grantNumber() + 1;
     String from = config.currentVersion();
     RolloutRow started =
         RolloutRow.started(config.name(), from, move.toVersion(), lastGrant, now, move.by());
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutBook.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutBook.java
@@ -17,6 +17,7 @@
 import org.acaciapond.rollout.state.GrantBook;
 import org.acaciapond.rollout.state.RolloutInvariants;
 import org.acaciapond.rollout.state.RolloutRow;
+import org.acaciapond.rollout.state.RolloutState;
 import org.acaciapond.rollout.state.TakenBack;
 import org.acaciapond.routing.target.TargetDirectory;
 import org.acaciapond.routing.target.TargetEndpoint;
@@ -77,6 +78,10 @@
     if (known == null || recorded.revision() > known.revision()) {
       grants.apply(recorded.row().grant());
       states.put(service, new ServiceState(recorded, before.takenBack()));
+      if (recorded.row().state() == RolloutState.TAKEN_BACK) {
+        // The row outlives a fact that was lost with all nodes that knew it.
+        onFact(new TakenBack(service, recorded.row().to()));
+      }
     }
   }
 
@@ -146,12 +151,17 @@
     }
     RolloutRow row = recorded.row();
     boolean newGone = takenBack.contains(row.to());
-    if (newGone && current.equals(row.to())) {
+    if (newGone && takenBack.contains(current)) {
       // The text still names a version that was taken back after its move; the old one serves.
       return new VersionSplit(row.from(), null, 0, Set.of(), takenBack);
     }
     double share = grants.share(service, row.to());
-    if (newGone || share == 0 || !isBetween(row, current)) {
+    // When the text names a version taken back in an earlier move, the row says who serves.
+    boolean follows = isBetween(row, current) || takenBack.contains(current);
+    if (follows && share == 0 && takenBack.contains(current)) {
+      return new VersionSplit(row.from(), null, 0, Set.of(), takenBack);
+    }
+    if (newGone || share == 0 || !follows) {
       return new VersionSplit(current, null, 0, Set.of(), takenBack);
     }
     return new VersionSplit(row.from(), row.to(), share, chosenHosts(row, targets), takenBack);
@@ -166,7 +176,7 @@
   private static Set<String> chosenHosts(RolloutRow row, List<TargetEndpoint> targets) {
     List<String> hosts =
         targets.stream()
-            .filter(target -> target.version().equals(row.to()))
+            .filter(target -> target.version().equals(row.to()) && !target.leaving())
             .map(TargetEndpoint::hostId)
             .sorted(Comparator.naturalOrder())
             .toList();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.membership.GossipEntry;
 import org.acaciapond.platform.client.Row;
@@ -76,21 +78,35 @@
   }
 
   static Optional<RecordedRow> decodeGrant(GossipEntry entry) {
-    return decodeRow(entry.value()).map(row -> new RecordedRow(row, entry.revision()));
+    return decodeRow(entry.value())
+        .filter(row -> entry.key().equals(GRANT_PREFIX + row.service()))
+        .map(row -> new RecordedRow(row, entry.revision()));
   }
 
   static Optional<RecordedRow> decodeRow(Row row) {
-    return decodeRow(row.value()).map(decoded -> new RecordedRow(decoded, row.revision()));
+    return decodeRow(row.value())
+        .filter(decoded -> row.key().equals(rowKey(decoded.service())))
+        .map(decoded -> new RecordedRow(decoded, row.revision()));
   }
 
   private static Optional<RolloutRow> decodeRow(byte[] value) {
     try {
-      return Optional.ofNullable(ConfigCodec.mapper().readValue(value, RolloutRow.class));
+      return Optional.ofNullable(ConfigCodec.mapper().readValue(value, RolloutRow.class))
+          .filter(RolloutGossip::isComplete);
     } catch (IOException e) {
       return Optional.empty();
     }
   }
 
+  /** The decoder leaves absent fields null, which no reader of a row expects. */
+  private static boolean isComplete(RolloutRow row) {
+    boolean named =
+        Stream.of(row.service(), row.from(), row.to(), row.reason()).allMatch(Objects::nonNull);
+    boolean dated =
+        Stream.of(row.startedAt(), row.by(), row.updatedAt()).allMatch(Objects::nonNull);
+    return named && dated && row.state() != null && row.share() >= 0 && row.share() <= 1;
+  }
+
   static Optional<TakenBack> decodeFactKey(String key) {
     String[] parts = key.split("/", FACT_KEY_PARTS);
     return parts.length == FACT_KEY_PARTS && key.startsWith(TAKEN_BACK_PREFIX)
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutTable.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutTable.java
@@ -8,6 +8,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.node.rollout.RolloutGossip.RecordedRow;
 import org.acaciapond.platform.client.PlatformClient;
+import org.acaciapond.platform.client.Row;
 import org.acaciapond.platform.client.WriteResult;
 import org.acaciapond.platform.client.lease.Lease;
 import org.acaciapond.platform.client.lease.LeaseClient;
@@ -113,6 +114,11 @@
     return platform.readRow(key).map(row -> row.flatMap(RolloutGossip::decodeRow));
   }
 
+  /** Reads a taken-back fact; fails when the platform cannot be reached. */
+  Uni<Optional<Row>> readFact(String factKey) {
+    return platform.readRow(factKey);
+  }
+
   /** Writes the row at a revision; empty when it is not known to have been applied. */
   Uni<Optional<Long>> writeRow(RolloutRow row, long expectedRevision) {
     return platform
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/TableSync.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/TableSync.java
@@ -119,8 +119,8 @@
             rows ->
                 loop.accept(
                     () -> {
-                      exchangeFacts(rows);
                       busy = false;
+                      exchangeFacts(rows);
                     }),
             this::onError);
   }
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
@@ -15,7 +15,7 @@
 
   private final RolloutPacer pacer;
   private final RolloutInvariants invariants;
-  private final int targets;
+  private int targets;
   private @Nullable RolloutRow row;
   private @Nullable RolloutRow pending;
   private long revision;
@@ -50,8 +50,10 @@
       readAgain(decisions);
     } else if (event instanceof RolloutEvent.FactSeen seen) {
       onFact(seen.fact());
-    } else if (event instanceof RolloutEvent.OldGone) {
-      oldGone = true;
+    } else if (event instanceof RolloutEvent.OldTargets old) {
+      oldGone = old.count() == 0;
+    } else if (event instanceof RolloutEvent.NewTargets changed) {
+      targets = changed.count();
     }
     return decisions;
   }
@@ -79,7 +81,10 @@
   private void onRow(RolloutEvent.RowRead read, List<Decision> decisions) {
     RolloutRow known = row;
     reading = false;
-    if (known != null && read.revision() < revision) {
+    boolean older = known != null && read.revision() < revision;
+    // A slow read that shows the row from before the outstanding write says nothing about its fate.
+    boolean overtaken = pending != null && read.revision() == revision;
+    if (older || overtaken) {
       return;
     }
     row = read.row();
@@ -160,11 +165,23 @@
     if (takenBack) {
       return takeBackRow(present, tick.now());
     }
-    return switch (present.state()) {
-      case MOVING -> move(present, tick);
-      case DONE -> release(present, tick.now());
-      case LATE, TAKEN_BACK -> null;
-    };
+    RolloutRow decided =
+        switch (present.state()) {
+          case MOVING -> move(present, tick);
+          case DONE -> release(present, tick.now());
+          case LATE, TAKEN_BACK -> null;
+        };
+    return decided == null ? claim(present) : decided;
+  }
+
+  // A new revision makes writes fail that a paused predecessor may still have under way.
+  private @Nullable RolloutRow claim(RolloutRow present) {
+    boolean raisable =
+        present.state() == RolloutState.MOVING
+            || present.state() == RolloutState.DONE && present.share() < 1;
+    return raisable && present.leaseEpoch() < epoch
+        ? present.in(present.state(), present.reason(), epoch)
+        : null;
   }
 
   private @Nullable RolloutRow takeBackRow(RolloutRow present, Instant now) {
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutEvent.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutEvent.java
@@ -27,6 +27,9 @@
   /** A taken-back fact arrived. */
   record FactSeen(TakenBack fact) implements RolloutEvent {}
 
-  /** The old version has no targets left, so the comparison ends. */
-  record OldGone() implements RolloutEvent {}
+  /** Number of targets of the old version; the comparison rests while there are none. */
+  record OldTargets(int count) implements RolloutEvent {}
+
+  /** Number of announced targets of the new version, on which the steps depend. */
+  record NewTargets(int count) implements RolloutEvent {}
 }
