--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/rollout/JudgeFixture.java
@@ -0,0 +1,216 @@
+package org.acaciapond.node.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.config.model.LimitsConfig;
+import org.acaciapond.config.model.MoveConfig;
+import org.acaciapond.config.model.ServiceConfig;
+import org.acaciapond.membership.Member;
+import org.acaciapond.membership.MemberState;
+import org.acaciapond.membership.MembershipView;
+import org.acaciapond.node.distribution.LocalGossipStore;
+import org.acaciapond.node.rollout.RolloutGossip.RecordedRow;
+import org.acaciapond.rollout.evidence.EvidenceSummary;
+import org.acaciapond.rollout.evidence.LatencySketch;
+import org.acaciapond.rollout.evidence.RouteCounts;
+import org.acaciapond.rollout.state.RolloutInvariants;
+import org.acaciapond.rollout.state.RolloutRow;
+import org.acaciapond.routing.target.TargetEndpoint;
+import org.jspecify.annotations.Nullable;
+
+/** Judges of one service over one table, on a manual clock, with throwing invariants. */
+final class JudgeFixture {
+
+  static final String SERVICE = "pay-engine";
+  static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  static final int BY_SECONDS = 60;
+  static final Instant BY = START.plusSeconds(BY_SECONDS);
+
+  final ManualTimeSource time = new ManualTimeSource(START);
+  final FakePlatform.Table table = new FakePlatform.Table();
+  final List<Node> nodes = new ArrayList<>();
+  final RolloutInvariants invariants = new RolloutInvariants(true);
+  private final Random random;
+
+  /** Targets that every node sees. */
+  List<Member> targets = targets(4, 4);
+
+  JudgeFixture(int judges, Random random) {
+    this.random = random;
+    table.onWrite = (before, after) -> checkRow(before.map(JudgeFixture::row), after);
+    for (int i = 0; i < judges; i++) {
+      nodes.add(new Node(i));
+    }
+  }
+
+  /** One judge with its own gossip store and its own access to the table. */
+  final class Node implements MembershipView {
+
+    final int index;
+    FakePlatform platform = new FakePlatform(table);
+    LocalGossipStore gossip;
+    RolloutBook book;
+    OwnRollout own;
+    private final Queue<Runnable> loop = new ArrayDeque<>();
+
+    Node(int index) {
+      this.index = index;
+      restart();
+    }
+
+    /** Starts the process again with an empty memory. */
+    void restart() {
+      loop.clear();
+      platform = new FakePlatform(table);
+      gossip = new LocalGossipStore();
+      book = new RolloutBook(gossip, service -> endpoints(targets), invariants);
+      String holder = "judge-" + index + "/" + time.nanoTime();
+      RolloutTable access =
+          new RolloutTable(platform, time, new Random(index), loop::add, SERVICE, holder);
+      own = new OwnRollout(SERVICE, time, this, book, gossip, invariants, access);
+    }
+
+    void tick(@Nullable ServiceConfig config) {
+      own.tick(config);
+      settle();
+    }
+
+    /** Runs what answers of the table have queued. */
+    void settle() {
+      while (!loop.isEmpty()) {
+        loop.remove().run();
+      }
+    }
+
+    /** Returns the share of the new version that this node routes by, or 0. */
+    double share(ServiceConfig config) {
+      var split = book.splitOf(config);
+      return "v2".equals(split.newVersion()) ? split.newShare() : 0;
+    }
+
+    @Override
+    public Member self() {
+      return member("judge-" + index, "v1");
+    }
+
+    @Override
+    public List<Member> domainMembers(String failureDomain) {
+      return targets;
+    }
+
+    @Override
+    public List<Member> members() {
+      return targets;
+    }
+  }
+
+  /** Advances the clock by a second, delivers evidence and gossip, and ticks all nodes. */
+  void second(ServiceConfig config, boolean bad) {
+    time.advance(Duration.ofSeconds(1));
+    for (Node node : nodes) {
+      evidence(node, bad);
+      node.tick(config);
+    }
+    nodes.forEach(this::spreadFrom);
+  }
+
+  void evidence(Node node, boolean bad) {
+    for (int witness = 0; witness < 6; witness++) {
+      node.own.onEvidence(summary(witness, node, bad));
+    }
+  }
+
+  /** Brings all that one node knows to all others, as complete anti-entropy does. */
+  void spreadFrom(Node from) {
+    nodes.forEach(to -> exchange(from, to));
+  }
+
+  void exchange(Node from, Node to) {
+    from.gossip.list("").forEach(to.gossip::publish);
+  }
+
+  private EvidenceSummary summary(int witness, Node node, boolean bad) {
+    double share = node.book.row(SERVICE).map(r -> r.row().share()).orElse(0.0);
+    int newCalls = (int) (400 * share);
+    int newErrors = bad ? newCalls / 2 : 0;
+    List<RouteCounts> routes =
+        List.of(counts("v1", 400 - newCalls, 0), counts("v2", newCalls, newErrors));
+    return new EvidenceSummary(
+        "caller-" + witness,
+        "domain-" + witness % 3,
+        1,
+        time.now().getEpochSecond(),
+        node.book.grantNumber(SERVICE),
+        routes);
+  }
+
+  private static RouteCounts counts(String version, int calls, int errors) {
+    LatencySketch latency = new LatencySketch();
+    latency.add(20, calls);
+    return new RouteCounts(SERVICE, version, "/release", calls, errors, latency);
+  }
+
+  private void checkRow(Optional<RolloutRow> before, org.acaciapond.platform.client.Row after) {
+    if (after.key().equals(RolloutGossip.rowKey(SERVICE))) {
+      RolloutRow written = row(after);
+      before.ifPresent(known -> invariants.follows(known, written));
+    }
+  }
+
+  static RolloutRow row(org.acaciapond.platform.client.Row row) {
+    return RolloutGossip.decodeRow(row).map(RecordedRow::row).orElse(null);
+  }
+
+  RolloutRow row() {
+    return row(table.rows.get(RolloutGossip.rowKey(SERVICE)));
+  }
+
+  Random random() {
+    return random;
+  }
+
+  static ServiceConfig config(String current, @Nullable MoveConfig move) {
+    return new ServiceConfig(
+        SERVICE, List.of(), false, List.of(), LimitsConfig.DEFAULT, List.of(), current, move);
+  }
+
+  static ServiceConfig moving() {
+    return config("v1", new MoveConfig("v2", BY));
+  }
+
+  static List<Member> targets(int oldCount, int newCount) {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < oldCount + newCount; i++) {
+      members.add(member("host-" + i, i < oldCount ? "v1" : "v2"));
+    }
+    return members;
+  }
+
+  static Member member(String host, String version) {
+    return new Member(
+        host, 1, "127.0.0.1", 1, 2, "brum-a", "midlands", SERVICE, version, 1, MemberState.ALIVE);
+  }
+
+  static List<TargetEndpoint> endpoints(List<Member> members) {
+    return members.stream()
+        .map(
+            m ->
+                new TargetEndpoint(
+                    m.hostId(),
+                    m.ip(),
+                    m.inboundPort(),
+                    m.failureDomain(),
+                    SERVICE,
+                    m.targetVersion(),
+                    1,
+                    false))
+        .toList();
+  }
+}
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/rollout/RolloutBookTest.java
@@ -0,0 +1,161 @@
+package org.acaciapond.node.rollout;
+
+import static org.acaciapond.node.rollout.JudgeFixture.BY;
+import static org.acaciapond.node.rollout.JudgeFixture.SERVICE;
+import static org.acaciapond.node.rollout.JudgeFixture.START;
+import static org.acaciapond.node.rollout.JudgeFixture.config;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.acaciapond.membership.GossipEntry;
+import org.acaciapond.node.distribution.LocalGossipStore;
+import org.acaciapond.node.rollout.RolloutGossip.RecordedRow;
+import org.acaciapond.rollout.state.RolloutInvariants;
+import org.acaciapond.rollout.state.RolloutRow;
+import org.acaciapond.rollout.state.RolloutState;
+import org.acaciapond.rollout.state.TakenBack;
+import org.acaciapond.routing.target.TargetEndpoint;
+import org.acaciapond.routing.target.VersionSplit;
+import org.junit.jupiter.api.Test;
+
+/** Guards I4 at the request path: what a node knows never gives a taken-back version traffic. */
+class RolloutBookTest {
+
+  private static final RolloutRow STARTED = RolloutRow.started(SERVICE, "v1", "v2", 0, START, BY);
+  private static final GossipEntry FACT =
+      RolloutGossip.factEntry(
+          RolloutGossip.factKey(new TakenBack(SERVICE, "v2")),
+          RolloutGossip.encodeFact("judge", START.toString(), "errors"));
+
+  private final LocalGossipStore gossip = new LocalGossipStore();
+  private List<TargetEndpoint> targets = JudgeFixture.endpoints(JudgeFixture.targets(4, 4));
+  private final RolloutBook book =
+      new RolloutBook(gossip, service -> targets, new RolloutInvariants(true));
+
+  private static RolloutRow granted(RolloutRow row, double share) {
+    return row.granted(RolloutState.MOVING, share, 2, "", 1, START);
+  }
+
+  private static GossipEntry grant(RolloutRow row, long revision) {
+    return RolloutGossip.grantEntry(new RecordedRow(row, revision));
+  }
+
+  private VersionSplit split(String current) {
+    return book.splitOf(config(current, null));
+  }
+
+  /** Guards against a late grant that lowers or repeats what a newer one said. */
+  @Test
+  void olderGrantChangesNothing() {
+    RolloutRow small = granted(STARTED, 0.05);
+    gossip.publish(grant(granted(small, 0.1), 3));
+    gossip.publish(grant(small, 2));
+    assertEquals(0.1, split("v1").newShare());
+  }
+
+  /** Guards against a grant that was under way while the version was taken back. */
+  @Test
+  void lateGrantAfterTakeBackGivesNothing() {
+    gossip.publish(grant(granted(STARTED, 0.05), 2));
+    gossip.publish(FACT);
+    gossip.publish(grant(granted(granted(STARTED, 0.05), 0.1), 3));
+    assertGone(split("v1"));
+  }
+
+  /** Guards against a text, old or new, that names the version as current. */
+  @Test
+  void textThatNamesTakenBackVersionGivesItNothing() {
+    gossip.publish(grant(granted(STARTED, 0.05), 2));
+    gossip.publish(FACT);
+    assertGone(split("v2"));
+    assertEquals("v1", split("v2").oldVersion());
+    RolloutRow next = RolloutRow.started(SERVICE, "v1", "v3", 9, START.plusSeconds(9), BY);
+    gossip.publish(grant(next, 5));
+    assertGone(split("v2"));
+    assertEquals("v1", split("v2").oldVersion());
+    gossip.publish(grant(granted(next, 0.05), 6));
+    assertGone(split("v2"));
+    assertEquals("v3", split("v2").newVersion());
+  }
+
+  /** Guards against a restart: a node that has only the fact, or only the row, knows enough. */
+  @Test
+  void emptyMemoryLearnsFromFactOrRowAlone() {
+    gossip.publish(FACT);
+    assertGone(split("v2"));
+    LocalGossipStore other = new LocalGossipStore();
+    RolloutBook restarted = new RolloutBook(other, service -> targets, new RolloutInvariants(true));
+    other.publish(grant(STARTED.granted(RolloutState.TAKEN_BACK, 0, 0, "bad", 1, START), 4));
+    assertEquals(Set.of("v2"), restarted.takenBack(SERVICE));
+    assertGone(restarted.splitOf(config("v2", null)));
+  }
+
+  private static void assertGone(VersionSplit split) {
+    assertTrue(split.takenBack().contains("v2"));
+    assertTrue(!"v2".equals(split.newVersion()) || split.newShare() == 0);
+  }
+
+  /** Guards against one number for two grants when a move follows another. */
+  @Test
+  void nextMoveTakesOverFromTheGrantOfTheLast() {
+    RolloutRow done = granted(STARTED, 0.95).in(RolloutState.DONE, "complete", 1);
+    gossip.publish(grant(done, 2));
+    MoveStarter starter = MoveStarterTest.starter();
+    RolloutRow next =
+        starter
+            .firstRow(
+                MoveStarterTest.moveTo("v3", BY),
+                java.util.Optional.of(done),
+                false,
+                new MoveStarter.Counts(4, 4),
+                2,
+                START)
+            .orElseThrow();
+    gossip.publish(grant(next, 3));
+    assertNull(split("v1").newVersion());
+  }
+
+  /** Guards against nodes that spread a small share over different targets. */
+  @Test
+  void everyNodeChoosesTheSameHostsAndNoneThatLeaves() {
+    gossip.publish(grant(granted(STARTED, 0.05), 2));
+    Set<String> chosen = split("v1").newTargetHostIds();
+    assertEquals(2, chosen.size());
+    List<TargetEndpoint> shuffled = new ArrayList<>(targets);
+    Collections.shuffle(shuffled, new Random(3));
+    targets = shuffled;
+    assertEquals(chosen, split("v1").newTargetHostIds());
+    String leaving = chosen.iterator().next();
+    targets = shuffled.stream().map(t -> t.hostId().equals(leaving) ? leaves(t) : t).toList();
+    assertEquals(2, split("v1").newTargetHostIds().size());
+    assertTrue(!split("v1").newTargetHostIds().contains(leaving));
+  }
+
+  private static TargetEndpoint leaves(TargetEndpoint t) {
+    return new TargetEndpoint(
+        t.hostId(),
+        t.address(),
+        t.inboundPort(),
+        t.failureDomain(),
+        t.service(),
+        t.version(),
+        t.weight(),
+        true);
+  }
+
+  /** Guards against a malformed row of another node that stops the gossip of a node. */
+  @Test
+  void malformedRowsAreIgnored() {
+    for (String value : List.of("{}", "null", "[", "{\"service\":\"pay-engine\",\"share\":1}")) {
+      gossip.publish(new GossipEntry("grant/" + SERVICE, 7 + value.length(), value.getBytes()));
+    }
+    gossip.publish(new GossipEntry("grant/other", 1, RolloutGossip.encode(granted(STARTED, 0.05))));
+    assertTrue(book.rows().isEmpty());
+  }
+}
--- a/acaciapond-rollout/src/test/java/org/acaciapond/rollout/state/RolloutControllerTest.java
+++ b/acaciapond-rollout/src/test/java/org/acaciapond/rollout/state/RolloutControllerTest.java
@@ -195,6 +195,32 @@
     assertTrue(check.refusal(request, null, false, late).orElseThrow().contains("too short"));
   }
 
+  /** Guards against the answer of one write being taken for that of another. */
+  @Test
+  void slowReadDoesNotEndTheOutstandingWrite() {
+    Table table = new Table();
+    RolloutController holder = new RolloutController(pacer, new RolloutInvariants(true), TARGETS);
+    holder.handle(new RolloutEvent.LeaseHeld(1));
+    holder.handle(new RolloutEvent.RowRead(table.row, table.revision));
+    RolloutEvent.Tick tick = new RolloutEvent.Tick(Instant.ofEpochSecond(1), CLEAN, TARGETS);
+    assertEquals(1, holder.handle(tick).size());
+    holder.handle(new RolloutEvent.RowRead(table.row, table.revision));
+    assertEquals(List.of(), holder.handle(tick), "a second write while the first is under way");
+  }
+
+  /** Guards against a raise that a paused predecessor still has under way. */
+  @Test
+  void successorClaimsTheRowBeforeAnythingElse() {
+    Table table = new Table();
+    table.row = table.row.granted(RolloutState.MOVING, 0.05, 1, "", 1, Instant.EPOCH);
+    RolloutController holder = new RolloutController(pacer, new RolloutInvariants(true), TARGETS);
+    holder.handle(new RolloutEvent.LeaseHeld(2));
+    holder.handle(new RolloutEvent.RowRead(table.row, table.revision));
+    tick(holder, table, 1, CLEAN);
+    assertEquals(2, table.row.leaseEpoch());
+    assertEquals(2, table.revision);
+  }
+
   /** Guards against a checker that accepts what it is meant to catch. */
   @Test
   void checkerCountsViolations() {
