Show rollouts, roles and violations at every node

/status lists each rollout (service, from, to, state, share, reason), the versions taken back, the roles of the node and why a move in the text has not started; acaciapond_rollout_violations_total counts violated invariants.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -32,6 +32,7 @@
 import org.acaciapond.node.proxy.RequestPathCounters;
 import org.acaciapond.node.proxy.RequestPathOptions;
 import org.acaciapond.node.rollout.RolloutService;
+import org.acaciapond.node.rollout.RolloutStatus;
 import org.acaciapond.node.telemetry.JsonLinesSpanSink;
 import org.acaciapond.node.telemetry.NodeMetrics;
 import org.acaciapond.node.telemetry.OpenTelemetryHopTracer;
@@ -108,9 +109,20 @@
     this.outbound = newOutbound(vertx, requestPath, tracer);
     this.inbound = newInbound(vertx, requestPath, tracer);
     RequestPathStatus status = new RequestPathStatus(holder, membership, outbound, inbound);
+    RolloutStatus rolloutStatus =
+        new RolloutStatus(membership, rollouts.book(), distribution::isPoller, rollouts::isJudge);
     this.admin =
         new AdminServer(
-            vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT), metrics, status::addTo);
+            vertx,
+            holder,
+            localTarget,
+            port(NodeSettings.ADMIN_PORT),
+            metrics,
+            document -> {
+              status.addTo(document);
+              rolloutStatus.addTo(document);
+              document.put("move_obstacle", rollouts.obstacle());
+            });
     addMetrics();
     // Stopped in reverse order: the own target may call others until its last call has ended.
     this.base = new OrderedServices(List.of(transport, outbound, inbound, admin));
@@ -241,6 +253,7 @@
     metrics.addEjections(() -> outbound.selector().ejectionCount());
     metrics.addSnapshots(holder);
     metrics.addTransport(transport.counters());
+    metrics.addRollouts(rollouts.invariants()::violations);
   }
 
   private boolean polls() {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutService.java
@@ -133,16 +133,25 @@
   private void tick(Running current) {
     current.sync().tick();
     report(current);
-    boolean judge =
-        JudgeElection.judges(members, ownService()).stream()
-            .anyMatch(member -> member.hostId().equals(hostId));
-    if (judge) {
+    if (isJudge()) {
       current.own().tick(holder.current().service(ownService()));
     } else {
       current.own().resign();
     }
   }
 
+  /** Returns whether this node is a judge of its own service. */
+  public boolean isJudge() {
+    return JudgeElection.judges(members, ownService()).stream()
+        .anyMatch(member -> member.hostId().equals(hostId));
+  }
+
+  /** Returns why the move in the text has not started, empty when nothing is known to hold it. */
+  public String obstacle() {
+    Running current = running;
+    return current == null ? "" : current.own().obstacle();
+  }
+
   private void report(Running current) {
     long interval = time.now().getEpochSecond();
     Map<String, EvidenceSummary> summaries = recorder.drain(interval);
--- a/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/NodeMetrics.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/NodeMetrics.java
@@ -128,6 +128,11 @@
     counter("transport_malformed_frames", "Malformed frames.", transport::malformedFrames);
   }
 
+  /** Adds the count of violated invariants of rollouts. */
+  public void addRollouts(DoubleSupplier violations) {
+    counter("rollout_violations", "Violated invariants of rollouts.", violations);
+  }
+
   private void counter(String name, String help, DoubleSupplier value) {
     CounterWithCallback.builder()
         .name("acaciapond_" + name + "_total")
--- /dev/null
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/rollout/RolloutStatusTest.java
@@ -0,0 +1,43 @@
+package org.acaciapond.node.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.Random;
+import org.acaciapond.node.telemetry.NodeMetrics;
+import org.acaciapond.rollout.state.RolloutInvariants;
+import org.junit.jupiter.api.Test;
+
+/** Guards what operators see of rollouts at one node. */
+class RolloutStatusTest {
+
+  /** Guards against a status that hides a take-back, its reason or the roles of the node. */
+  @Test
+  void statusListsRolloutsTakenBackVersionsAndRoles() {
+    JudgeFixture mesh = new JudgeFixture(1, new Random(1));
+    JudgeFixture.Node node = mesh.nodes.get(0);
+    for (int i = 0; i < 50; i++) {
+      mesh.second(JudgeFixture.moving(), i > 10);
+    }
+    JsonObject status = new JsonObject();
+    new RolloutStatus(node, node.book, () -> true, () -> true).addTo(status);
+    assertEquals(new JsonArray().add("poller").add("leaf").add("judge"), status.getValue("roles"));
+    JsonObject rollout = status.getJsonArray("rollouts").getJsonObject(0);
+    assertEquals("TAKEN_BACK", rollout.getString("state"));
+    assertEquals(0.0, rollout.getDouble("share"));
+    assertTrue(rollout.getString("reason").startsWith("more errors"), rollout.encode());
+    assertEquals("{\"pay-engine\":[\"v2\"]}", status.getJsonObject("taken_back").encode());
+  }
+
+  /** Guards against violated invariants that no metric shows. */
+  @Test
+  void violationsAreCountedInMetrics() {
+    RolloutInvariants invariants = new RolloutInvariants(false);
+    NodeMetrics metrics = new NodeMetrics();
+    metrics.addRollouts(invariants::violations);
+    invariants.nothingAfterTakenBack(0.1, true);
+    assertTrue(new String(metrics.text()).contains("acaciapond_rollout_violations_total 1.0"));
+  }
+}
