Let one rendezvous hash serve membership and distribution

RendezvousRank in membership and RendezvousHash in distribution ranked alike by two hashes. RendezvousHash moves to membership, which distribution and the node already depend on, and gains lowest(). Roles, judges and chosen hosts rank as before; only the nodes whose addresses stand in the rows of seeds are chosen by the other hash now.

--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.acaciapond.membership.Member;
+import org.acaciapond.membership.RendezvousHash;
 
 /**
  * Roles that the members of a failure domain have.
--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/RendezvousHash.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/RendezvousHash.java
@@ -1,4 +1,4 @@
-package org.acaciapond.distribution.election;
+package org.acaciapond.membership;
 
 import java.util.Collection;
 import java.util.Comparator;
@@ -49,4 +49,10 @@
         .map(Scored::id)
         .toList();
   }
+
+  /** Returns up to a number of members of lowest score for a task, in the order of their score. */
+  public static List<Member> lowest(Collection<Member> members, String task, int count) {
+    Comparator<Member> byScore = Comparator.comparingLong(member -> score(task, member.hostId()));
+    return members.stream().sorted(byScore.thenComparing(Member::hostId)).limit(count).toList();
+  }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/SeedRow.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/SeedRow.java
@@ -9,7 +9,7 @@
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MembershipView;
 import org.acaciapond.membership.NodeAddress;
-import org.acaciapond.membership.RendezvousRank;
+import org.acaciapond.membership.RendezvousHash;
 import org.acaciapond.platform.client.PlatformClient;
 import org.acaciapond.platform.client.Row;
 import org.acaciapond.protocol.transport.PeerAddress;
@@ -38,14 +38,14 @@
   /** Returns whether this node is the one that keeps the row fresh. */
   boolean isKeeper(MembershipView view) {
     Member self = view.self();
-    List<Member> lowest = RendezvousRank.lowest(view.domainMembers(self.failureDomain()), key, 1);
+    List<Member> lowest = RendezvousHash.lowest(view.domainMembers(self.failureDomain()), key, 1);
     return !lowest.isEmpty() && lowest.get(0).hostId().equals(self.hostId());
   }
 
   /** Writes the row when an address in it is not that of a member, or some are missing. */
   Uni<Void> refresh(MembershipView view) {
     List<NodeAddress> wanted =
-        RendezvousRank.lowest(view.domainMembers(view.self().failureDomain()), key, MAX_ADDRESSES)
+        RendezvousHash.lowest(view.domainMembers(view.self().failureDomain()), key, MAX_ADDRESSES)
             .stream()
             .map(NodeAddress::of)
             .toList();
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.acaciapond.distribution.election.RendezvousHash;
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MembershipView;
+import org.acaciapond.membership.RendezvousHash;
 
 /** Election of judges and of reporting witnesses by rendezvous hashing; no messages are needed. */
 final class JudgeElection {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutBook.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutBook.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.acaciapond.config.model.ServiceConfig;
-import org.acaciapond.distribution.election.RendezvousHash;
 import org.acaciapond.membership.GossipEntry;
 import org.acaciapond.membership.GossipStore;
+import org.acaciapond.membership.RendezvousHash;
 import org.acaciapond.node.rollout.RolloutGossip.RecordedRow;
 import org.acaciapond.rollout.state.GrantBook;
 import org.acaciapond.rollout.state.RolloutInvariants;
@@ -115,6 +115,18 @@
     return states.getOrDefault(service, ServiceState.EMPTY).takenBack();
   }
 
+  /** Returns all versions known to be taken back, by service. */
+  public Map<String, Set<String>> takenBack() {
+    Map<String, Set<String>> versions = new HashMap<>();
+    states.forEach(
+        (service, state) -> {
+          if (!state.takenBack().isEmpty()) {
+            versions.put(service, state.takenBack());
+          }
+        });
+    return versions;
+  }
+
   /** Returns whether calls to a service are evidence about a move. */
   boolean isWatched(String service) {
     CachedSplit cached = splits.get(service);
