--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/state/RolloutController.java
@@ -165,15 +165,18 @@
     if (takenBack) {
       return takeBackRow(present, tick.now());
     }
-    RolloutRow decided =
-        switch (present.state()) {
-          case MOVING -> move(present, tick);
-          case DONE -> release(present, tick.now());
-          case LATE, TAKEN_BACK -> null;
-        };
+    RolloutRow decided = step(present, tick);
     return decided == null ? claim(present) : decided;
   }
 
+  private @Nullable RolloutRow step(RolloutRow present, RolloutEvent.Tick tick) {
+    return switch (present.state()) {
+      case MOVING -> move(present, tick);
+      case DONE -> release(present, tick.now());
+      case LATE, TAKEN_BACK -> null;
+    };
+  }
+
   // A new revision makes writes fail that a paused predecessor may still have under way.
   private @Nullable RolloutRow claim(RolloutRow present) {
     boolean raisable =
