--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/JudgeElection.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.acaciapond.distribution.election.RendezvousHash;
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MembershipView;
+import org.acaciapond.membership.RendezvousHash;
 
 /** Election of judges and of reporting witnesses by rendezvous hashing; no messages are needed. */
 final class JudgeElection {
@@ -43,6 +43,6 @@
             .map(Member::hostId)
             .toList();
     int rank = RendezvousHash.rank("witness/" + self.service(), peers).indexOf(self.hostId());
-    return rank < WITNESSES_PER_DOMAIN;
+    return rank >= 0 && rank < WITNESSES_PER_DOMAIN;
   }
 }
