Accept objects of up to 24 MiB in the platform stand-in

A text of 10,000,000 bytes can double when a client stores it inside a JSON object, and was refused by the bound of 16 MiB. The bound is now 24 MiB.

--- a/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformServer.java
+++ b/acaciapond-platform/src/main/java/org/acaciapond/platform/PlatformServer.java
@@ -27,7 +27,10 @@
 public final class PlatformServer implements ManagedService {
 
   private static final long MAX_ROW_BYTES = 64L * 1024;
-  private static final long MAX_OBJECT_BYTES = 16L * 1024 * 1024;
+
+  /** A text of 10,000,000 bytes, the largest allowed, may double when it is escaped as JSON. */
+  private static final long MAX_OBJECT_BYTES = 24L * 1024 * 1024;
+
   private static final long MAX_FAULTS_BYTES = 4L * 1024;
   private static final int MAX_KEY_CHARS = 256;
   private static final int OK = 200;
