Store edits as deltas and publish them by one piece of code

Cause: the walk over the chain and the settling of lost answers stood twice (ConfigPublisher and the command line's HeadPublisher), and a poller read the whole text, 0.57 MB at 520 services, at each edit.

An edit is now three kinds of objects: the text, the slices it changes, and the edit with their digests and that of the whole state. Pollers that hold one of the last 16 edits read the edits since and the changed slices, check the digest of the result and read the text on any mismatch or gap.

--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/Cli.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/Cli.java
@@ -10,6 +10,7 @@
 import org.acaciapond.cli.output.ExitCode;
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.platform.client.PlatformErrorCode;
 import org.acaciapond.platform.client.PlatformException;
 
 /** Command line: parses the arguments, runs one command and turns its errors into exit codes. */
@@ -58,10 +59,16 @@
       CliException translated =
           new CliException(
               CliErrorCode.UNAVAILABLE,
-              "the platform is unavailable (" + e.getMessage() + "); nothing was changed",
+              describe(e) + " (" + e.getMessage() + "); nothing was changed",
               e);
       output.error(translated);
       return translated.errorCode().exitCode();
     }
   }
+
+  private static String describe(PlatformException error) {
+    return error.code() == PlatformErrorCode.PLATFORM_PROTOCOL
+        ? "the platform gave a wrong answer"
+        : "the platform is unavailable";
+  }
 }
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/ApplyCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/ApplyCommand.java
@@ -1,9 +1,9 @@
 package org.acaciapond.cli.command;
 
 import java.util.Optional;
-import org.acaciapond.cli.edit.HeadState;
 import org.acaciapond.cli.output.ExitCode;
 import org.acaciapond.config.text.ValidationResult;
+import org.acaciapond.platform.client.HeadState;
 
 /** Command {@code apply FILE}: publishes a valid text as the edit after the head. */
 public final class ApplyCommand implements Command {
@@ -15,7 +15,7 @@
       context.output().problems(result.problems());
       return ExitCode.INVALID_INPUT;
     }
-    HeadState base = HeadState.read(context.platform());
+    HeadState base = HeadState.read(context.platform()).await().indefinitely();
     Optional<Long> expected = context.options().expect();
     if (expected.isPresent() && expected.get() != base.parent().sequence()) {
       throw EditPublication.conflict(expected.get(), base.parent());
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/EditPublication.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/EditPublication.java
@@ -1,13 +1,13 @@
 package org.acaciapond.cli.command;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.acaciapond.cli.edit.HeadPublisher;
-import org.acaciapond.cli.edit.HeadState;
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
 import org.acaciapond.cli.output.ExitCode;
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.ConfigPublisher;
+import org.acaciapond.platform.client.HeadState;
 import org.acaciapond.platform.client.PublishResult;
 import org.jspecify.annotations.Nullable;
 
@@ -19,8 +19,10 @@
   /** Publishes a text after a head; fails unless it was accepted. */
   static ExitCode publish(CommandContext context, HeadState base, String text, EditNote note) {
     PublishResult result =
-        new HeadPublisher(context.platform(), context.time())
-            .publish(base, text, context.options().operator());
+        new ConfigPublisher(context.platform(), context.time())
+            .publish(base, text, context.options().operator())
+            .await()
+            .indefinitely();
     return switch (result.outcome()) {
       case ACCEPTED -> {
         ObjectNode fields =
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/MeshState.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/MeshState.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Optional;
-import org.acaciapond.cli.edit.HeadState;
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.HeadState;
 import org.acaciapond.platform.client.PlatformClient;
 
 /**
@@ -21,7 +21,7 @@
 
   static MeshState read(PlatformClient platform) {
     return new MeshState(
-        HeadState.read(platform).head(),
+        HeadState.read(platform).await().indefinitely().head(),
         rows(platform, RowState.ROLLOUT_PREFIX),
         rows(platform, RowState.TAKEN_BACK_PREFIX));
   }
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RolloutCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RolloutCommand.java
@@ -4,8 +4,6 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Optional;
-import org.acaciapond.cli.edit.EditChain;
-import org.acaciapond.cli.edit.HeadState;
 import org.acaciapond.cli.edit.RolloutEdit;
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
@@ -13,6 +11,8 @@
 import org.acaciapond.cli.output.Output;
 import org.acaciapond.config.text.ConfigTextValidator;
 import org.acaciapond.config.text.ValidationResult;
+import org.acaciapond.platform.client.EditChain;
+import org.acaciapond.platform.client.HeadState;
 import org.acaciapond.platform.client.Row;
 
 /** Command {@code rollout SERVICE VERSION --by DURATION}: requests a move in the text in force. */
@@ -21,11 +21,11 @@
   @Override
   public ExitCode run(CommandContext context) {
     final Instant by = deadline(context);
-    HeadState base = HeadState.read(context.platform());
+    HeadState base = HeadState.read(context.platform()).await().indefinitely();
     if (base.head().isEmpty()) {
       throw invalid("there is no configuration yet; apply one first");
     }
-    String text = new EditChain(context.platform(), base.parent()).next().edit().text();
+    String text = EditChain.readText(context.platform(), base.parent()).await().indefinitely();
     RolloutEdit edit = RolloutEdit.of(text, context.argument(0));
     refuseTakenBack(context);
     EditNote note = request(context, edit, by);
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TakeBackCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TakeBackCommand.java
@@ -4,13 +4,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
-import org.acaciapond.cli.edit.EditChain;
-import org.acaciapond.cli.edit.HeadState;
 import org.acaciapond.cli.edit.RolloutEdit;
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
 import org.acaciapond.cli.output.ExitCode;
 import org.acaciapond.cli.output.Output;
+import org.acaciapond.platform.client.EditChain;
+import org.acaciapond.platform.client.HeadState;
 import org.acaciapond.platform.client.PlatformException;
 import org.acaciapond.platform.client.Row;
 import org.acaciapond.platform.client.TableKeys;
@@ -75,11 +75,11 @@
 
   /** Guards against a mistyped name, which would take nothing back. */
   private static void checkVersion(CommandContext context, String service, String version) {
-    HeadState head = HeadState.read(context.platform());
+    HeadState head = HeadState.read(context.platform()).await().indefinitely();
     if (head.head().isEmpty()) {
       throw invalid("there is no configuration yet");
     }
-    String text = new EditChain(context.platform(), head.parent()).next().edit().text();
+    String text = EditChain.readText(context.platform(), head.parent()).await().indefinitely();
     RolloutEdit edit = RolloutEdit.of(text, service);
     if (!edit.lists(version)) {
       throw invalid("service \"" + service + "\" has no version \"" + version + "\"");
--- a/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigEdit.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/ConfigEdit.java
@@ -1,6 +1,7 @@
 package org.acaciapond.config.version;
 
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Accepted or proposed edit, stored as an immutable object addressed by its digest.
@@ -11,7 +12,9 @@
  * @param editId unique identity of the attempt, by which a lost answer is settled
  * @param operator who made the edit
  * @param createdAt when the edit was proposed
- * @param text whole configuration text after the edit
+ * @param textDigest digest of the object that holds the whole configuration text after the edit
+ * @param textBytes size of that object
+ * @param delta difference to the parent; null when only the whole text leads to this edit
  */
 public record ConfigEdit(
     long epoch,
@@ -20,4 +23,6 @@
     String editId,
     String operator,
     Instant createdAt,
-    String text) {}
+    String textDigest,
+    long textBytes,
+    @Nullable EditDelta delta) {}
--- /dev/null
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/version/SliceRef.java
@@ -0,0 +1,9 @@
+package org.acaciapond.config.version;
+
+/**
+ * Reference to the slice of one service.
+ *
+ * @param service name of the service
+ * @param digest digest of its slice, which is the address of the slice in the object store
+ */
+public record SliceRef(String service, String digest) {}
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/HeadPoller.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/HeadPoller.java
@@ -3,7 +3,6 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.config.model.MeshConfig;
@@ -15,6 +14,8 @@
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.config.version.ServiceSlice;
 import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.EditChain;
+import org.acaciapond.platform.client.HeadState;
 import org.acaciapond.platform.client.PlatformClient;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -62,34 +63,26 @@
     if (!reading.compareAndSet(false, true)) {
       return;
     }
-    platform
-        .readRow(ConfigHead.KEY)
+    HeadState.read(platform)
         .chain(
-            row -> {
-              ConfigVersion version =
-                  row.map(r -> ConfigHead.decode(r.value()).version()).orElse(ConfigVersion.NONE);
-              return version.isAfter(holder.current().version())
-                  ? fetch(version)
-                  : Uni.createFrom().voidItem();
-            })
+            head ->
+                head.version().isAfter(holder.current().version())
+                    ? fetch(head.parent())
+                    : Uni.createFrom().voidItem())
         .onTermination()
         .invoke(() -> reading.set(false))
         .subscribe()
         .with(ignored -> {}, error -> LOG.debug("Cannot read the head", error));
   }
 
-  private Uni<Void> fetch(ConfigVersion version) {
-    return platform
-        .readObject(version.digest())
-        .invoke(object -> activate(version, object))
+  private Uni<Void> fetch(ConfigHead head) {
+    return EditChain.readText(platform, head)
+        .invoke(text -> activate(head.version(), text))
         .replaceWithVoid();
   }
 
-  private void activate(ConfigVersion version, Optional<byte[]> object) {
-    if (object.isEmpty()) {
-      return;
-    }
-    MeshConfig config = ConfigTextParser.parse(ConfigCodec.decodeEdit(object.get()).text());
+  private void activate(ConfigVersion version, String text) {
+    MeshConfig config = ConfigTextParser.parse(text);
     List<ServiceSlice> slices = config.services().stream().map(ConfigCodec::slice).toList();
     Snapshot snapshot = Snapshot.build(version, Scope.of(ownService, config), slices);
     if (holder.offer(snapshot)) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/PollerRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/PollerRole.java
@@ -8,13 +8,15 @@
 import java.util.Optional;
 import java.util.Set;
 import org.acaciapond.config.text.ConfigTextParser;
-import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.config.version.ConfigException;
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.distribution.election.DomainRoles;
 import org.acaciapond.distribution.floor.HolderTally;
 import org.acaciapond.distribution.update.MeshState;
+import org.acaciapond.distribution.update.ScopedContent;
 import org.acaciapond.membership.Member;
+import org.acaciapond.platform.client.ConfigContent;
+import org.acaciapond.platform.client.ConfigFetcher;
 import org.acaciapond.platform.client.ConfigHead;
 import org.acaciapond.platform.client.PlatformClient;
 import org.acaciapond.platform.client.Row;
@@ -40,6 +42,7 @@
   private final ConfigStore store;
   private final Subscribers subscribers;
   private final PlatformClient platform;
+  private final ConfigFetcher fetcher;
   private final KeeperMessages messages;
   private final LeaseClient lease;
   private final Map<String, PeerConnection> keepers = new HashMap<>();
@@ -60,6 +63,7 @@
     this.store = store;
     this.subscribers = subscribers;
     this.platform = platform;
+    this.fetcher = new ConfigFetcher(platform);
     this.messages = messages;
     Member self = context.self();
     // The start time makes the holder differ from the same host before a restart.
@@ -174,39 +178,49 @@
       reading = false;
       return;
     }
-    platform
-        .readObject(version.digest())
+    MeshState previous = store.held();
+    fetcher
+        .fetch(version, previous.version(), previous.whole().slices())
         .subscribe()
         .with(
-            object -> context.run(() -> onObject(version, object)),
+            content -> context.run(() -> onContent(version, content, previous)),
             error -> context.run(() -> onError(error)));
   }
 
-  private void onObject(ConfigVersion version, Optional<byte[]> object) {
-    if (object.isEmpty()) {
-      reading = false;
-      return;
-    }
-    MeshState previous = store.held();
+  private void onContent(ConfigVersion version, ConfigContent content, MeshState previous) {
     context
         .vertx()
-        .executeBlocking(() -> parse(version, object.get(), previous), false)
+        .executeBlocking(() -> build(version, content, previous), false)
         .onComplete(
-            parsed ->
+            built ->
                 context.run(
                     () -> {
-                      if (parsed.succeeded()) {
-                        onState(parsed.result());
+                      if (built.succeeded()) {
+                        onState(built.result());
+                      } else if (content instanceof ConfigContent.Slices) {
+                        fetchText(version, previous);
                       } else {
-                        onParseError(version, parsed.cause());
+                        onParseError(version, built.cause());
                       }
                     }));
   }
 
-  /** Parses the whole text; only pollers do, on a worker thread. */
-  private static MeshState parse(ConfigVersion version, byte[] object, MeshState previous) {
-    String text = ConfigCodec.decodeEdit(object).text();
-    return MeshState.of(version, ConfigTextParser.parse(text), previous);
+  /** Lets the text decide about a version whose slices are refused. */
+  private void fetchText(ConfigVersion version, MeshState previous) {
+    fetcher
+        .fetchText(version)
+        .subscribe()
+        .with(
+            text -> context.run(() -> onContent(version, text, previous)),
+            error -> context.run(() -> onError(error)));
+  }
+
+  /** Builds the state on a worker thread, since a whole text takes long to parse. */
+  private static MeshState build(ConfigVersion version, ConfigContent content, MeshState previous) {
+    return content instanceof ConfigContent.Slices slices
+        ? MeshState.of(version, new ScopedContent(slices.slices(), Set.of()), previous)
+        : MeshState.of(
+            version, ConfigTextParser.parse(((ConfigContent.Text) content).text()), previous);
   }
 
   private void onState(MeshState state) {
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ConfigPublisher.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ConfigPublisher.java
@@ -5,9 +5,7 @@
 import java.util.UUID;
 import java.util.function.Supplier;
 import org.acaciapond.common.time.TimeSource;
-import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.config.version.ConfigEdit;
-import org.acaciapond.config.version.ConfigException;
 import org.acaciapond.config.version.ConfigVersion;
 import org.jspecify.annotations.Nullable;
 
@@ -19,9 +17,11 @@
    */
   private static final int MAX_WALK = 1_000;
 
-  private static final ConfigHead BEFORE_FIRST = new ConfigHead(1, 0, "", "", "");
+  /** Writes are repeated only while the head is unchanged, so that a repeat cannot do harm. */
+  private static final int MAX_ATTEMPTS = 3;
 
   private final PlatformClient platform;
+  private final EditWriter writer;
   private final TimeSource time;
   private final Supplier<String> editIds;
 
@@ -39,6 +39,7 @@
    */
   public ConfigPublisher(PlatformClient platform, TimeSource time, Supplier<String> editIds) {
     this.platform = platform;
+    this.writer = new EditWriter(platform);
     this.time = time;
     this.editIds = editIds;
   }
@@ -60,26 +61,31 @@
     return propose(text, operator, expectedHead);
   }
 
+  /**
+   * Proposes a text as the edit after a head that was read before. The head is not read again, so
+   * that an edit made meanwhile is a conflict and not overwritten.
+   */
+  public Uni<PublishResult> publish(HeadState base, String text, String operator) {
+    return publishAfter(base, text, operator)
+        .onFailure(PlatformException.class)
+        .recoverWithItem(result(PublishResult.Outcome.UNAVAILABLE));
+  }
+
   private Uni<PublishResult> propose(
       String text, String operator, @Nullable ConfigVersion expectedHead) {
-    return platform
-        .readRow(ConfigHead.KEY)
-        .chain(row -> publishAfter(row, text, operator, expectedHead))
+    return HeadState.read(platform)
+        .chain(
+            base ->
+                expectedHead == null || expectedHead.equals(base.version())
+                    ? publishAfter(base, text, operator)
+                    : Uni.createFrom().item(conflict(base.version(), base.head().orElse(null))))
         .onFailure(PlatformException.class)
         .recoverWithItem(result(PublishResult.Outcome.UNAVAILABLE));
   }
 
-  private Uni<PublishResult> publishAfter(
-      Optional<Row> row, String text, String operator, @Nullable ConfigVersion expectedHead) {
-    ConfigHead parent = row.map(r -> ConfigHead.decode(r.value())).orElse(BEFORE_FIRST);
-    ConfigVersion current = row.isEmpty() ? ConfigVersion.NONE : parent.version();
-    if (expectedHead != null && !expectedHead.equals(current)) {
-      return Uni.createFrom()
-          .item(
-              new PublishResult(
-                  PublishResult.Outcome.CONFLICT, current, row.isEmpty() ? null : parent));
-    }
-    ConfigEdit edit =
+  private Uni<PublishResult> publishAfter(HeadState base, String text, String operator) {
+    ConfigHead parent = base.parent();
+    ConfigEdit draft =
         new ConfigEdit(
             parent.epoch(),
             parent.sequence() + 1,
@@ -87,84 +93,100 @@
             editIds.get(),
             operator,
             time.now(),
-            text);
-    long revision = row.map(Row::revision).orElse(0L);
-    return platform
-        .writeObject(ConfigCodec.encodeEdit(edit))
-        .chain(digest -> advanceHead(headOf(edit, digest), revision));
-  }
-
-  private static ConfigHead headOf(ConfigEdit edit, String digest) {
-    return new ConfigHead(edit.epoch(), edit.sequence(), digest, edit.editId(), edit.operator());
+            "",
+            0,
+            null);
+    return writer
+        .write(base.head(), draft, text)
+        .chain(entry -> advanceHead(base, entry.toHead(), 1, false));
   }
 
-  private Uni<PublishResult> advanceHead(ConfigHead proposed, long revision) {
+  /**
+   * Writes the head.
+   *
+   * @param uncertain whether an earlier attempt may still take effect
+   */
+  private Uni<PublishResult> advanceHead(
+      HeadState base, ConfigHead proposed, int attempt, boolean uncertain) {
     return platform
-        .writeRow(ConfigHead.KEY, revision, proposed.encode())
+        .writeRow(ConfigHead.KEY, base.revision(), proposed.encode())
         .chain(
             written ->
                 written.outcome() == WriteResult.Outcome.APPLIED
                     ? Uni.createFrom().item(accepted(proposed))
-                    : settle(proposed, written.outcome()));
+                    : settleOrRepeat(
+                        base,
+                        proposed,
+                        attempt,
+                        uncertain || written.outcome() == WriteResult.Outcome.UNKNOWN));
   }
 
-  /** Learns the fate of a write that is not known to have been applied from the head. */
-  private Uni<PublishResult> settle(ConfigHead proposed, WriteResult.Outcome written) {
-    PublishResult undecided =
-        result(
-            written == WriteResult.Outcome.NOT_APPLIED
-                ? PublishResult.Outcome.UNAVAILABLE
-                : PublishResult.Outcome.UNKNOWN);
-    return platform
-        .readRow(ConfigHead.KEY)
+  private Uni<PublishResult> settleOrRepeat(
+      HeadState base, ConfigHead proposed, int attempt, boolean uncertain) {
+    return settle(base, proposed)
         .chain(
-            row ->
-                row.isEmpty()
-                    ? Uni.createFrom().item(undecided)
-                    : settleAgainst(proposed, ConfigHead.decode(row.get().value()), undecided))
-        .onFailure(e -> e instanceof PlatformException || e instanceof ConfigException)
-        .recoverWithItem(undecided);
-  }
-
-  private Uni<PublishResult> settleAgainst(
-      ConfigHead proposed, ConfigHead head, PublishResult undecided) {
-    if (head.epoch() != proposed.epoch() || head.sequence() < proposed.sequence()) {
-      return Uni.createFrom().item(undecided);
+            settled -> {
+              if (settled.isPresent()) {
+                return Uni.createFrom().item(settled.get());
+              }
+              return attempt < MAX_ATTEMPTS
+                  ? advanceHead(base, proposed, attempt + 1, uncertain)
+                  : Uni.createFrom()
+                      .item(
+                          result(
+                              uncertain
+                                  ? PublishResult.Outcome.UNKNOWN
+                                  : PublishResult.Outcome.UNAVAILABLE));
+            });
+  }
+
+  /** Reads back what became of the edit; empty while the head is unchanged or unreadable. */
+  private Uni<Optional<PublishResult>> settle(HeadState base, ConfigHead proposed) {
+    return HeadState.read(platform)
+        .chain(
+            now ->
+                now.revision() == base.revision()
+                    ? Uni.createFrom().item(Optional.<PublishResult>empty())
+                    : judge(now.parent(), proposed).map(Optional::of))
+        .onFailure(PlatformException.class)
+        .recoverWithItem(Optional.empty());
+  }
+
+  /** Finds the edit that took the position of the proposed one. */
+  private Uni<PublishResult> judge(ConfigHead now, ConfigHead proposed) {
+    if (now.epoch() != proposed.epoch() || now.sequence() < proposed.sequence()) {
+      return Uni.createFrom().item(result(PublishResult.Outcome.UNKNOWN));
     }
-    Uni<Optional<ConfigHead>> sameSequence =
-        head.sequence() == proposed.sequence()
-            ? Uni.createFrom().item(Optional.of(head))
-            : walk(proposed.sequence(), head.digest(), MAX_WALK);
-    return sameSequence.map(
-        found -> found.map(edit -> compare(proposed, edit, head)).orElse(undecided));
+    return walk(now, proposed.sequence(), new EditChain(platform, now), MAX_WALK)
+        .map(winner -> winner.map(edit -> compare(proposed, edit)))
+        .map(compared -> compared.orElse(result(PublishResult.Outcome.UNKNOWN)));
   }
 
-  private static PublishResult compare(ConfigHead proposed, ConfigHead winner, ConfigHead head) {
+  private static PublishResult compare(ConfigHead proposed, ConfigHead winner) {
     return winner.editId().equals(proposed.editId())
         ? accepted(proposed)
-        : new PublishResult(PublishResult.Outcome.CONFLICT, head.version(), winner);
+        : conflict(winner.version(), winner);
   }
 
   /** Follows the chain of parent digests back to the edit with a sequence. */
-  private Uni<Optional<ConfigHead>> walk(long sequence, String digest, int stepsLeft) {
-    return platform
-        .readObject(digest)
-        .chain(
-            object -> {
-              if (object.isEmpty() || stepsLeft == 0) {
-                return Uni.createFrom().item(Optional.empty());
-              }
-              ConfigEdit edit = ConfigCodec.decodeEdit(object.get());
-              return edit.sequence() == sequence
-                  ? Uni.createFrom().item(Optional.of(headOf(edit, digest)))
-                  : walk(sequence, edit.parentDigest(), stepsLeft - 1);
-            });
+  private static Uni<Optional<ConfigHead>> walk(
+      ConfigHead edit, long sequence, EditChain chain, int stepsLeft) {
+    if (edit.sequence() == sequence) {
+      return Uni.createFrom().item(Optional.of(edit));
+    }
+    return stepsLeft == 0 || !chain.hasNext()
+        ? Uni.createFrom().item(Optional.empty())
+        : chain.next().chain(entry -> walk(entry.toHead(), sequence, chain, stepsLeft - 1));
   }
 
   private static PublishResult accepted(ConfigHead proposed) {
     return new PublishResult(PublishResult.Outcome.ACCEPTED, proposed.version(), null);
   }
 
+  private static PublishResult conflict(ConfigVersion version, @Nullable ConfigHead other) {
+    return new PublishResult(PublishResult.Outcome.CONFLICT, version, other);
+  }
+
   private static PublishResult result(PublishResult.Outcome outcome) {
     return new PublishResult(outcome, ConfigVersion.NONE, null);
   }
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/EditChain.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/EditChain.java
@@ -1,18 +1,16 @@
-package org.acaciapond.cli.edit;
+package org.acaciapond.platform.client;
 
-import java.util.Iterator;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
 import java.util.NoSuchElementException;
-import org.acaciapond.cli.output.CliErrorCode;
-import org.acaciapond.cli.output.CliException;
+import java.util.Optional;
 import org.acaciapond.config.version.ConfigCodec;
 import org.acaciapond.config.version.ConfigEdit;
 import org.acaciapond.config.version.ConfigException;
-import org.acaciapond.platform.client.ConfigHead;
-import org.acaciapond.platform.client.PlatformClient;
 import org.jspecify.annotations.Nullable;
 
 /** Walk over the accepted edits from the head back to the first; reads each object on demand. */
-public final class EditChain implements Iterator<EditChain.Entry> {
+public final class EditChain {
 
   /**
    * Edit with its address.
@@ -32,30 +30,41 @@
   private String nextDigest;
   private long nextSequence;
 
+  /** Creates a walk that starts at the edit with a digest and a sequence. */
+  public EditChain(PlatformClient platform, String digest, long sequence) {
+    this.platform = platform;
+    this.nextDigest = digest;
+    this.nextSequence = sequence;
+  }
+
   /** Creates a walk that starts at a head. */
   public EditChain(PlatformClient platform, ConfigHead head) {
-    this.platform = platform;
-    this.nextDigest = head.digest();
-    this.nextSequence = head.sequence();
+    this(platform, head.digest(), head.sequence());
   }
 
-  @Override
+  /** Returns whether an older edit is left. */
   public boolean hasNext() {
     return !nextDigest.isEmpty();
   }
 
-  /** Returns the next older edit; fails when its object is missing or out of order. */
-  @Override
-  public Entry next() {
+  /** Returns the digest of the next older edit; empty after the first edit. */
+  public String nextDigest() {
+    return nextDigest;
+  }
+
+  /**
+   * Reads the next older edit; fails with {@link PlatformException} when its object is missing, is
+   * not an edit or is out of order. The next call has to wait for the result.
+   */
+  public Uni<Entry> next() {
     if (!hasNext()) {
       throw new NoSuchElementException();
     }
-    byte[] bytes =
-        platform
-            .readObject(nextDigest)
-            .await()
-            .indefinitely()
-            .orElseThrow(() -> broken("object " + nextDigest + " is missing", null));
+    return platform.readObject(nextDigest).map(this::advance);
+  }
+
+  private Entry advance(Optional<byte[]> object) {
+    byte[] bytes = object.orElseThrow(() -> broken("object " + nextDigest + " is missing", null));
     Entry entry = new Entry(nextDigest, decode(bytes));
     if (entry.edit().sequence() != nextSequence) {
       throw broken("object " + nextDigest + " has sequence " + entry.edit().sequence(), null);
@@ -65,6 +74,27 @@
     return entry;
   }
 
+  /** Reads the whole text of an edit. */
+  public static Uni<String> readText(PlatformClient platform, ConfigEdit edit) {
+    return platform
+        .readObject(edit.textDigest())
+        .map(
+            object ->
+                object
+                    .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
+                    .orElseThrow(
+                        () ->
+                            broken(
+                                edit.sequence(),
+                                "text " + edit.textDigest() + " is missing",
+                                null)));
+  }
+
+  /** Reads the whole text of the edit that a head names. */
+  public static Uni<String> readText(PlatformClient platform, ConfigHead head) {
+    return new EditChain(platform, head).next().chain(entry -> readText(platform, entry.edit()));
+  }
+
   private ConfigEdit decode(byte[] bytes) {
     try {
       return ConfigCodec.decodeEdit(bytes);
@@ -73,10 +103,15 @@
     }
   }
 
-  private CliException broken(String message, @Nullable Throwable cause) {
-    return new CliException(
-        CliErrorCode.UNAVAILABLE,
-        "the history breaks at version " + nextSequence + ": " + message,
+  private PlatformException broken(String message, @Nullable Throwable cause) {
+    return broken(nextSequence, message, cause);
+  }
+
+  private static PlatformException broken(
+      long sequence, String message, @Nullable Throwable cause) {
+    return new PlatformException(
+        PlatformErrorCode.PLATFORM_PROTOCOL,
+        "the history breaks at version " + sequence + ": " + message,
         cause);
   }
 }
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/HeadState.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/HeadState.java
@@ -1,10 +1,8 @@
-package org.acaciapond.cli.edit;
+package org.acaciapond.platform.client;
 
+import io.smallrye.mutiny.Uni;
 import java.util.Optional;
 import org.acaciapond.config.version.ConfigVersion;
-import org.acaciapond.platform.client.ConfigHead;
-import org.acaciapond.platform.client.PlatformClient;
-import org.acaciapond.platform.client.Row;
 
 /**
  * Head of the configuration as it was read at one time.
@@ -17,10 +15,13 @@
   private static final ConfigHead BEFORE_FIRST = new ConfigHead(1, 0, "", "", "");
 
   /** Reads the head. */
-  public static HeadState read(PlatformClient platform) {
-    Optional<Row> row = platform.readRow(ConfigHead.KEY).await().indefinitely();
-    return new HeadState(
-        row.map(Row::revision).orElse(0L), row.map(r -> ConfigHead.decode(r.value())));
+  public static Uni<HeadState> read(PlatformClient platform) {
+    return platform
+        .readRow(ConfigHead.KEY)
+        .map(
+            row ->
+                new HeadState(
+                    row.map(Row::revision).orElse(0L), row.map(r -> ConfigHead.decode(r.value()))));
   }
 
   /** Returns the head, or the position before the first edit. */
@@ -28,8 +29,8 @@
     return head.orElse(BEFORE_FIRST);
   }
 
-  /** Returns the version that the head names. */
+  /** Returns the version that the head names; {@link ConfigVersion#NONE} before the first edit. */
   public ConfigVersion version() {
-    return parent().version();
+    return head.map(ConfigHead::version).orElse(ConfigVersion.NONE);
   }
 }
--- /dev/null
+++ b/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/ConfigFetcherTest.java
@@ -0,0 +1,120 @@
+package org.acaciapond.platform.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.acaciapond.config.text.ConfigTextParser;
+import org.acaciapond.config.version.ConfigVersion;
+import org.acaciapond.config.version.ServiceSlice;
+import org.acaciapond.config.version.SliceIndex;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a poller whose state differs from the text, or that reads more than it needs. */
+class ConfigFetcherTest {
+
+  private final SimulatedPlatform platform = new SimulatedPlatform(new SplittableRandom(1));
+  private final ConfigFetcher fetcher = new ConfigFetcher(platform.client());
+  private final ConfigPublisher publisher = new ConfigPublisher(platform.client(), platform.time());
+
+  private static String text(Map<Integer, Integer> slots) {
+    return slots.entrySet().stream()
+        .map(
+            e ->
+                """
+                {"name":"s%d","versions":[{"name":"v1"}],"current_version":"v1",
+                 "limits":{"slots":%d}}"""
+                    .formatted(e.getKey(), e.getValue()))
+        .collect(Collectors.joining(",", "{\"services\":[", "]}"));
+  }
+
+  private static Map<String, ServiceSlice> slices(String text) {
+    return SliceIndex.slices(ConfigTextParser.parse(text)).stream()
+        .collect(Collectors.toMap(ServiceSlice::service, s -> s));
+  }
+
+  private static Map<String, ServiceSlice> slices(ConfigContent content) {
+    return content instanceof ConfigContent.Slices found
+        ? found.slices()
+        : slices(((ConfigContent.Text) content).text());
+  }
+
+  private <T> T await(Uni<T> uni) {
+    AtomicReference<T> result = new AtomicReference<>();
+    uni.subscribe().with(result::set);
+    platform.runAll();
+    return result.get();
+  }
+
+  private ConfigVersion publish(String text) {
+    PublishResult result = await(publisher.publish(text, "ana"));
+    assertEquals(PublishResult.Outcome.ACCEPTED, result.outcome());
+    return result.version();
+  }
+
+  @Property(tries = 200)
+  void stateIsThatOfTheTextWhateverIsHeldOrMissing(
+      @ForAll long seed, @ForAll @IntRange(min = 0, max = 3) int lostObjects) {
+    SplittableRandom random = new SplittableRandom(seed);
+    TreeMap<Integer, Integer> slots = new TreeMap<>(Map.of(0, 1));
+    ConfigVersion held = ConfigVersion.NONE;
+    Map<String, ServiceSlice> heldSlices = Map.of();
+    for (int edit = 0; edit < 25; edit++) {
+      for (int i = 0; i < 1 + random.nextInt(3); i++) {
+        slots.merge(random.nextInt(8), 1 + random.nextInt(3), (a, b) -> b == 2 ? null : b);
+      }
+      slots.putIfAbsent(0, 1);
+      String text = random.nextInt(8) == 0 ? "no text" : text(slots);
+      ConfigVersion version = publish(text);
+      if (text.startsWith("{") && random.nextInt(4) != 0) {
+        platform.loseObjects(random.nextInt(lostObjects + 1), version.digest(), text);
+        ConfigContent content = await(fetcher.fetch(version, held, heldSlices));
+        assertEquals(slices(text), slices(content), "seed " + seed);
+        held = version;
+        heldSlices = slices(content);
+      }
+    }
+  }
+
+  @Test
+  void smallEditsReadOnlyTheirSlices() {
+    Map<Integer, Integer> slots =
+        new TreeMap<>(IntStream.range(0, 520).boxed().collect(Collectors.toMap(i -> i, i -> 1)));
+    final ConfigVersion held = publish(text(slots));
+    final Map<String, ServiceSlice> heldSlices = slices(text(slots));
+    slots.put(7, 2);
+    publish(text(slots));
+    slots.put(8, 2);
+    slots.remove(9);
+    ConfigVersion version = publish(text(slots));
+    int before = platform.requestCount();
+    ConfigContent content = await(fetcher.fetch(version, held, heldSlices));
+    assertTrue(content instanceof ConfigContent.Slices);
+    assertEquals(slices(text(slots)), slices(content));
+    assertEquals(4, platform.requestCount() - before, "two edits and two slices");
+  }
+
+  /** Guards against an edit of many services that exceeds the platform's rate of writes. */
+  @Test
+  void largeEditsAreReadAsText() {
+    List<Integer> names = new ArrayList<>(IntStream.range(0, 100).boxed().toList());
+    ConfigVersion held = publish(text(new TreeMap<>(Map.of(0, 1))));
+    String text = text(new TreeMap<>(names.stream().collect(Collectors.toMap(i -> i, i -> 2))));
+    int before = platform.requestCount();
+    ConfigVersion version = publish(text);
+    assertTrue(platform.requestCount() - before <= 6);
+    Map<String, ServiceSlice> heldSlices = slices(text(Map.of(0, 1)));
+    assertTrue(await(fetcher.fetch(version, held, heldSlices)) instanceof ConfigContent.Text);
+  }
+}
--- a/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/SimulatedPlatform.java
+++ b/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/SimulatedPlatform.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.config.version.ConfigCodec;
 
 /**
  * Platform in memory whose requests run one at a time in an order drawn at random.
@@ -69,6 +70,16 @@
     return requestCount;
   }
 
+  /** Removes some objects at random, but neither an edit nor its text. */
+  public void loseObjects(int count, String editDigest, String text) {
+    String textDigest = ConfigCodec.digest(text.getBytes(StandardCharsets.UTF_8));
+    List<String> digests = new ArrayList<>(objects.keySet());
+    digests.removeAll(List.of(editDigest, textDigest));
+    for (int i = 0; i < count && !digests.isEmpty(); i++) {
+      objects.remove(digests.remove(random.nextInt(digests.size())));
+    }
+  }
+
   /** Returns a client of this platform. */
   public ResilientPlatformClient client() {
     return new ResilientPlatformClient(
