Cap reported problems, show requested moves, refuse moves over others and past times

A text of 10 MB can have millions of problems: the first 100 in the order of the text are kept and the rest is counted. status shows moves without a row and nodes that differ, rollout refuses a move during an unfinished one, apply refuses a new move whose set time is past.

--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RolloutCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/RolloutCommand.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Optional;
+import java.util.Set;
 import org.acaciapond.cli.edit.RolloutEdit;
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
@@ -18,6 +19,8 @@
 /** Command {@code rollout SERVICE VERSION --by DURATION}: requests a move in the text in force. */
 public final class RolloutCommand implements Command {
 
+  private static final Set<String> UNFINISHED = Set.of("MOVING", "LATE");
+
   @Override
   public ExitCode run(CommandContext context) {
     final Instant by = deadline(context);
@@ -28,13 +31,14 @@
     String text = EditChain.readText(context.platform(), base.parent()).await().indefinitely();
     RolloutEdit edit = RolloutEdit.of(text, context.argument(0));
     refuseTakenBack(context);
+    refuseWhileMoving(context, edit);
     EditNote note = request(context, edit, by);
     ValidationResult result =
         ConfigTextValidator.validate(
             edit.text().getBytes(StandardCharsets.UTF_8),
             "version-" + (base.parent().sequence() + 1));
     if (!result.valid()) {
-      context.output().problems(result.problems());
+      context.output().problems(result);
       return ExitCode.INVALID_INPUT;
     }
     return EditPublication.publish(context, base, result.text(), note);
@@ -77,6 +81,22 @@
     }
   }
 
+  /** A move under way has traffic on its version, which another move would leave behind. */
+  private static void refuseWhileMoving(CommandContext context, RolloutEdit edit) {
+    Optional<String> target = edit.presentTarget();
+    if (target.isEmpty() || target.get().equals(context.argument(1))) {
+      return;
+    }
+    Optional<RowState> row = rolloutRow(context, context.argument(0), target.get());
+    if (row.isPresent() && UNFINISHED.contains(row.get().fields().path("state").asText())) {
+      throw new CliException(
+          CliErrorCode.CONFLICT,
+          row.get().line() + " is not finished; take that version back or wait until it is done",
+          Output.object().set("move", row.get().fields()),
+          null);
+    }
+  }
+
   /** Keeps a completed move: the next one has to start from the version it moved to. */
   private static String completeFinishedMove(
       CommandContext context, RolloutEdit edit, String service) {
@@ -89,15 +109,21 @@
   }
 
   private static boolean isDone(CommandContext context, String service, String target) {
+    return rolloutRow(context, service, target)
+        .filter(row -> row.fields().path("state").asText().equals("DONE"))
+        .isPresent();
+  }
+
+  /** Reads the rollout row of a service if it is about a version. */
+  private static Optional<RowState> rolloutRow(
+      CommandContext context, String service, String target) {
     return context
         .platform()
         .readRow(RowState.ROLLOUT_PREFIX + service)
         .await()
         .indefinitely()
-        .map(row -> RowState.of(row).fields())
-        .filter(fields -> fields.path("state").asText().equals("DONE"))
-        .filter(fields -> fields.path("to").asText().equals(target))
-        .isPresent();
+        .map(RowState::of)
+        .filter(row -> row.fields().path("to").asText().equals(target));
   }
 
   private static CliException invalid(String message) {
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/StatusCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/StatusCommand.java
@@ -3,17 +3,28 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.acaciapond.cli.output.CliException;
 import org.acaciapond.cli.output.ExitCode;
 import org.acaciapond.cli.output.Output;
+import org.acaciapond.config.model.MeshConfig;
+import org.acaciapond.config.model.MoveConfig;
+import org.acaciapond.config.model.ServiceConfig;
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.platform.client.ConfigHead;
+import org.acaciapond.platform.client.PlatformException;
 
 /** Command {@code status}: shows the head, rollouts, taken-back versions and given nodes. */
 public final class StatusCommand implements Command {
 
+  private static final Comparator<ConfigVersion> VERSION_ORDER =
+      Comparator.<ConfigVersion>naturalOrder().thenComparing(ConfigVersion::digest);
+
   @Override
   public ExitCode run(CommandContext context) {
     MeshState state = MeshState.read(context.platform());
@@ -22,6 +33,7 @@
     node.set("head", state.head().map(MeshState::headJson).orElse(null));
     lines.add(state.head().map(MeshState::headLine).orElse("no configuration yet"));
     addRows(state.rollouts(), node.putArray("rollouts"), lines, "no rollouts");
+    addRequested(context, state, node.putArray("requested"), lines);
     addRows(state.takenBack(), node.putArray("takenBack"), lines, "no version is taken back");
     if (!context.options().nodes().isEmpty()) {
       addNodes(context, state.head(), node.putArray("nodes"), lines);
@@ -41,9 +53,44 @@
     }
   }
 
+  /** Shows the moves of the text that no row shows yet, so that a request does not seem lost. */
+  private static void addRequested(
+      CommandContext context, MeshState state, ArrayNode array, List<String> lines) {
+    List<ServiceConfig> services = List.of();
+    try {
+      services =
+          TextInForce.read(context.platform(), state.head())
+              .map(MeshConfig::services)
+              .orElse(List.of());
+    } catch (PlatformException e) {
+      lines.add("the text in force cannot be read: " + e.getMessage());
+    }
+    for (ServiceConfig service : services) {
+      MoveConfig move = service.move();
+      if (move != null && !hasRow(state, service.name(), move.toVersion())) {
+        array
+            .addObject()
+            .put("service", service.name())
+            .put("from", service.currentVersion())
+            .put("to", move.toVersion())
+            .put("by", move.by().toString());
+        lines.add(
+            "requested, not started: %s from %s to %s by %s"
+                .formatted(service.name(), service.currentVersion(), move.toVersion(), move.by()));
+      }
+    }
+  }
+
+  private static boolean hasRow(MeshState state, String service, String version) {
+    return state.rollouts().stream()
+        .filter(row -> row.fields().path("service").asText().equals(service))
+        .anyMatch(row -> row.fields().path("to").asText().equals(version));
+  }
+
   private static void addNodes(
       CommandContext context, Optional<ConfigHead> head, ArrayNode array, List<String> lines) {
     ConfigVersion newest = head.map(ConfigHead::version).orElse(ConfigVersion.NONE);
+    Set<ConfigVersion> inForce = new TreeSet<>(VERSION_ORDER);
     for (String address : context.options().nodes()) {
       ObjectNode node = array.addObject().put("node", address);
       try {
@@ -54,12 +101,27 @@
             .put("sequence", version.sequence())
             .put("digest", version.digest())
             .put("state", state);
-        lines.add("node " + address + ": version " + version.sequence() + " in force, " + state);
+        inForce.add(version);
+        lines.add(
+            "node %s: version %d of epoch %d in force, digest %s, %s"
+                .formatted(
+                    address,
+                    version.sequence(),
+                    version.epoch(),
+                    MeshState.shortDigest(version.digest()),
+                    state));
       } catch (CliException e) {
         node.put("reachable", false).put("reason", e.text());
         lines.add("node " + address + ": unreachable, " + e.text());
       }
     }
+    if (inForce.size() > 1) {
+      lines.add(
+          "nodes differ: "
+              + inForce.stream()
+                  .map(v -> "version " + v.sequence() + " of epoch " + v.epoch())
+                  .collect(Collectors.joining(", ")));
+    }
   }
 
   /** Says how a node stands to the head, which was read before the node. */
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TextFiles.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/TextFiles.java
@@ -33,6 +33,6 @@
 
   private static ValidationResult unreadable(String name, String message) {
     Problem problem = new Problem(name, 1, 1, Rule.FILE_UNREADABLE, message);
-    return new ValidationResult(Optional.empty(), "", List.of(problem));
+    return new ValidationResult(Optional.empty(), "", List.of(problem), 0);
   }
 }
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/ValidateCommand.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/ValidateCommand.java
@@ -12,7 +12,7 @@
     String file = context.argument(0);
     ValidationResult result = TextFiles.validate(file);
     if (!result.valid()) {
-      context.output().problems(result.problems());
+      context.output().problems(result);
       return ExitCode.INVALID_INPUT;
     }
     int services = result.config().orElseThrow().services().size();
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/output/Output.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/output/Output.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.util.List;
 import org.acaciapond.config.text.Problem;
+import org.acaciapond.config.text.ValidationResult;
 
 /**
  * Output of one command.
@@ -64,12 +65,18 @@
   }
 
   /** Prints the problems of a text. */
-  public void problems(List<Problem> problems) {
-    problems.forEach(err::println);
+  public void problems(ValidationResult result) {
+    result.problems().forEach(err::println);
+    if (result.omitted() > 0) {
+      err.println("acaciapond: " + result.omitted() + " more problems are not shown");
+    }
     if (json) {
       ObjectNode node = object().put(OUTCOME, CliErrorCode.INVALID_INPUT.name());
       ArrayNode list = node.putArray("problems");
-      problems.forEach(problem -> list.add(toJson(problem)));
+      result.problems().forEach(problem -> list.add(toJson(problem)));
+      if (result.omitted() > 0) {
+        node.put("omittedProblems", result.omitted());
+      }
       out.println(node);
     }
     flush();
--- a/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
+++ b/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
@@ -222,6 +222,52 @@
     assertTrue(transcript.toString().contains("makes v2 the current version"));
   }
 
+  /** Guards against a second move that leaves traffic on the target of an unfinished one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"MOVING", "LATE"})
+  void rolloutDuringAnotherMoveIsAConflict(String state) {
+    run("apply", file);
+    run("rollout", "proofing", "v2", "--by", "10m");
+    platform.put("rollout/proofing", "{\"state\":\"" + state + "\",\"to\":\"v2\"}");
+    assertEquals(ExitCode.CONFLICT, run("rollout", "proofing", "v3", "--by", "10m"));
+    assertTrue(transcript.toString().contains("to v2: " + state), transcript.toString());
+    assertEquals(ExitCode.DONE, run("rollout", "proofing", "v2", "--by", "20m"));
+  }
+
+  /** Guards against a requested move that no row shows yet and that status hides. */
+  @Test
+  void statusShowsRequestedMovesAndNodesThatDiffer() {
+    run("apply", file);
+    run("rollout", "proofing", "v2", "--by", "10m");
+    NodeStatusReader nodes = a -> new ConfigVersion(1, a.endsWith(":2") ? 2 : 1, "d");
+    run(a -> platform, nodes, "status", "--node", "127.0.0.1:1", "--node", "127.0.0.1:2");
+    assertTrue(transcript.toString().contains("requested, not started: proofing from v1 to v2"));
+    assertTrue(transcript.toString().contains("nodes differ: version 1 of epoch 1, version 2"));
+  }
+
+  /** Guards against a new move that is late from the start, and against a refused repeat. */
+  @Test
+  void newMoveWithPastTimeIsRefused() throws IOException {
+    String move = ",\"move\":{\"to_version\":\"v2\",\"by\":\"2026-12-04T07:00:01Z\"}}]}";
+    Files.writeString(Path.of(file), TEXT.strip().replaceAll("}]}$", move));
+    assertEquals(ExitCode.DONE, run("apply", file));
+    time.advance(java.time.Duration.ofSeconds(2));
+    assertEquals(ExitCode.DONE, run("apply", file));
+    platform.rows.clear();
+    assertEquals(ExitCode.INVALID_INPUT, run("apply", file));
+    assertTrue(transcript.toString().contains("mesh.json:2:57: time-in-past"), scrubbed());
+  }
+
+  /** Guards against a report of millions of problems, and against a cap that is not mentioned. */
+  @Test
+  void manyProblemsAreCounted() throws IOException {
+    String services = "0,".repeat(100_000);
+    Files.writeString(Path.of(file), "{\"services\":[" + services + "0]}");
+    assertEquals(ExitCode.INVALID_INPUT, run("apply", file));
+    assertEquals(100, transcript.toString().lines().filter(l -> l.contains("wrong-type")).count());
+    assertTrue(transcript.toString().contains("99901 more problems are not shown"));
+  }
+
   /** Guards against a watch that hides a table that was rebuilt with an older head. */
   @Test
   void watchShowsRebuiltTable() {
--- a/acaciapond-config/src/main/java/org/acaciapond/config/text/ConfigTextValidator.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/text/ConfigTextValidator.java
@@ -14,6 +14,9 @@
   /** Deepest nesting of objects and arrays; the schema itself needs five levels. */
   public static final int MAX_DEPTH = 32;
 
+  /** Most problems reported; a text of 10 MB can have millions, which nobody reads. */
+  public static final int MAX_PROBLEMS = 100;
+
   private ConfigTextValidator() {}
 
   /**
@@ -33,7 +36,7 @@
         });
     Optional<MeshConfig> config =
         problems.isEmpty() ? tree.flatMap(t -> toModel(t, problems)) : Optional.empty();
-    return new ValidationResult(config, text.orElse(""), problems.sorted());
+    return new ValidationResult(config, text.orElse(""), problems.sorted(), problems.omitted());
   }
 
   /** Converts a checked tree; a failure means that schema and model differ. */
--- a/acaciapond-config/src/main/java/org/acaciapond/config/text/Rule.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/text/Rule.java
@@ -59,7 +59,9 @@
   /** A move goes to a version that is not listed. */
   MOVE_TO_ABSENT_VERSION,
   /** A move goes to the current version. */
-  MOVE_TO_CURRENT_VERSION;
+  MOVE_TO_CURRENT_VERSION,
+  /** A move that is not in force yet has a set time in the past. */
+  TIME_IN_PAST;
 
   /** Returns the stable identifier, for example {@code unknown-field}. */
   public String id() {
--- a/acaciapond-config/src/main/java/org/acaciapond/config/text/ValidationResult.java
+++ b/acaciapond-config/src/main/java/org/acaciapond/config/text/ValidationResult.java
@@ -9,9 +9,11 @@
  *
  * @param config the configuration; empty when there is a problem
  * @param text the decoded text; empty when the bytes are not a text
- * @param problems all problems found, in the order of the text
+ * @param problems first problems, in the order of the text
+ * @param omitted how many problems there are besides them
  */
-public record ValidationResult(Optional<MeshConfig> config, String text, List<Problem> problems) {
+public record ValidationResult(
+    Optional<MeshConfig> config, String text, List<Problem> problems, long omitted) {
 
   /** Creates a result. */
   public ValidationResult {
