Test that a result with another digest is read as text

Cause: no test failed when ConfigFetcher skipped the comparison of the digest. With the comparison removed (trial on a scratch copy) this test fails; with it, it passes.

--- a/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/ConfigFetcherTest.java
+++ b/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/ConfigFetcherTest.java
@@ -105,6 +105,18 @@
     assertEquals(4, platform.requestCount() - before, "two edits and two slices");
   }
 
+  /** Guards against slices that are put together with a state other than the parent's. */
+  @Test
+  void resultWithAnotherDigestIsReadAsText() {
+    ConfigVersion held = publish(text(new TreeMap<>(Map.of(0, 1, 1, 1))));
+    String text = text(new TreeMap<>(Map.of(0, 1, 1, 2)));
+    ConfigVersion version = publish(text);
+    Map<String, ServiceSlice> otherSlices = slices(text(new TreeMap<>(Map.of(0, 3, 1, 1))));
+    ConfigContent content = await(fetcher.fetch(version, held, otherSlices));
+    assertTrue(content instanceof ConfigContent.Text);
+    assertEquals(slices(text), slices(content));
+  }
+
   /** Guards against an edit of many services that exceeds the platform's rate of writes. */
   @Test
   void largeEditsAreReadAsText() {
