Replace connections that stay silent in their handshake and record outcomes

Cause: the connect timeout of Vert.x ends with the TCP handshake. A connection that was accepted but sent no HTTP/2 settings held the only place of the pool of its node for good, and all later calls to the node ended at their deadline. A call whose deadline passed while it waited for a connection also kept its place in the queue and then a stream that the pool never got back: 1,200 such calls used up the 1,024 streams of the connection.

Each node now has a pool of its own.

The calls bench prints the outcomes by kind.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/AddedLatency.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/AddedLatency.java
@@ -27,6 +27,7 @@
   private final String name;
   private final ConcurrentHistogram latency = new ConcurrentHistogram(3);
   private final LongAdder errors = new LongAdder();
+  private final OutcomeCounts outcomes = new OutcomeCounts();
   private final LongAdder wrong = new LongAdder();
   private final AtomicInteger pending = new AtomicInteger();
   private final AtomicLong sequence = new AtomicLong();
@@ -92,6 +93,7 @@
               if (!counted) {
                 return;
               }
+              outcomes.add(result);
               if (result.failed() || result.result().status() != 200) {
                 errors.increment();
               } else if (!result.result().body().equals(EchoTarget.answer(uri, body))) {
@@ -119,6 +121,8 @@
         .put("added_ms_p99", rounded(proxied.ms(99) - direct.ms(99)))
         .put("calls", calls)
         .put("errors", proxied.errors.sum())
+        .put("outcomes", proxied.outcomes.toJson())
+        .put("direct_outcomes", direct.outcomes.toJson())
         .put("duplicates", duplicates)
         .put("lost", proxied.pending.get())
         .put("wrong_answer", proxied.wrong.sum());
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/ChainScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/ChainScenario.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.acaciapond.config.model.LimitsConfig;
 import org.acaciapond.config.model.MeshConfig;
@@ -33,7 +34,11 @@
 
   private static final int DEPTH = 25;
   private static final int RATE_PER_S = 100;
-  private static final long SETTLE_MS = 3_000;
+  private static final int WARM_UP_CALLS = 40;
+
+  /** Longer than the 5 s timeout of a call, so that every call has ended when it is counted. */
+  private static final long SETTLE_MS = 6_000;
+
   private static final List<String> CARRIED =
       List.of(MeshHeaders.CALL_ID, MeshHeaders.RETRY, MeshHeaders.DEADLINE_MS, "traceparent");
 
@@ -41,12 +46,17 @@
 
   static JsonObject run(Vertx vertx, int seconds) throws Exception {
     JsonObject result = new JsonObject().put("processes", 1).put("depth", DEPTH);
-    result.put("leaf_attempts_per_call", attempts(vertx, seconds, true));
-    result.put("baseline_leaf_attempts_per_call", attempts(vertx, seconds, false));
+    OutcomeCounts outcomes = new OutcomeCounts();
+    result.put("leaf_attempts_per_call", attempts(vertx, seconds, true, outcomes));
+    result.put("outcomes", outcomes.toJson());
+    outcomes.clear();
+    result.put("baseline_leaf_attempts_per_call", attempts(vertx, seconds, false, outcomes));
+    result.put("baseline_outcomes", outcomes.toJson());
     return result;
   }
 
-  private static double attempts(Vertx vertx, int seconds, boolean budget) throws Exception {
+  private static double attempts(Vertx vertx, int seconds, boolean budget, OutcomeCounts outcomes)
+      throws Exception {
     InProcessMesh mesh =
         new InProcessMesh(vertx, config(), new RequestPathOptions(1, 0, budget, true));
     List<InboundProxy> leaves = new ArrayList<>();
@@ -59,16 +69,33 @@
       outbound = mesh.outbound("s" + (i - 1));
     }
     LoadClient client = new LoadClient(vertx, outbound.port(), "s1");
+    warmUp(client);
+    final long attemptsBefore = admitted(leaves);
     int calls =
         new OpenLoop(3, RATE_PER_S)
             .run(
                 TimeUnit.SECONDS.toNanos(seconds),
                 nanos ->
-                    client.send(
-                        io.vertx.core.http.HttpMethod.GET, "/" + nanos, Buffer.buffer(), null));
+                    client
+                        .send(io.vertx.core.http.HttpMethod.GET, "/" + nanos, Buffer.buffer(), null)
+                        .onComplete(outcomes::add));
     Thread.sleep(SETTLE_MS);
-    long attempts = leaves.stream().mapToLong(leaf -> leaf.admission().admittedCount()).sum();
-    return attempts / (double) calls;
+    return (admitted(leaves) - attemptsBefore) / (double) calls;
+  }
+
+  private static long admitted(List<InboundProxy> leaves) {
+    return leaves.stream().mapToLong(leaf -> leaf.admission().admittedCount()).sum();
+  }
+
+  /** Sends calls one after the other, so that cold code of 50 hops does not add up in a queue. */
+  private static void warmUp(LoadClient client) throws InterruptedException {
+    for (int i = 0; i < WARM_UP_CALLS; i++) {
+      CountDownLatch ended = new CountDownLatch(1);
+      client
+          .send(io.vertx.core.http.HttpMethod.GET, "/warm/" + i, Buffer.buffer(), null)
+          .onComplete(ignored -> ended.countDown());
+      ended.await();
+    }
   }
 
   private static int closedPort() throws java.io.IOException {
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
@@ -42,6 +42,7 @@
   private final Set<String> claimedNotRun = ConcurrentHashMap.newKeySet();
   private final LongAdder good = new LongAdder();
   private final LongAdder notRun = new LongAdder();
+  private final OutcomeCounts outcomes = new OutcomeCounts();
 
   private OverloadScenario(Vertx vertx) {
     this.vertx = vertx;
@@ -59,6 +60,7 @@
         result.put(prefix + "not_run_" + factor + "x", run.notRun.sum());
         run.claimedNotRun.retainAll(run.ran);
         result.put(prefix + "false_not_run_" + factor + "x", run.claimedNotRun.size());
+        result.put(prefix + "outcomes_" + factor + "x", run.outcomes.toJson());
       }
     }
     return result;
@@ -78,6 +80,7 @@
     claimedNotRun.clear();
     good.reset();
     notRun.reset();
+    outcomes.clear();
     int calls =
         new OpenLoop(2, rate)
             .run(TimeUnit.SECONDS.toNanos(seconds), nanos -> send(client, "/load/", nanos));
@@ -89,10 +92,15 @@
     String uri = path + intendedNanos;
     client
         .send(HttpMethod.GET, uri, Buffer.buffer(), DEADLINE_MS)
+        .onComplete(outcomes::add)
         .onSuccess(
             answer -> {
-              if (answer.status() == 200 && System.nanoTime() - intendedNanos <= DEADLINE_NANOS) {
-                good.increment();
+              if (answer.status() == 200) {
+                if (System.nanoTime() - intendedNanos <= DEADLINE_NANOS) {
+                  good.increment();
+                } else {
+                  outcomes.add("200 late");
+                }
               } else if ("not-run".equals(answer.outcome())) {
                 notRun.increment();
                 claimedNotRun.add(uri);
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ConnectionWatch.java
@@ -24,6 +24,9 @@
   /** Longer than the time until the connection is closed as silent. */
   private static final long SHUTDOWN_MS = 60_000;
 
+  /** A quarter of the streams that an inbound listener allows on a connection. */
+  private static final int MAX_UNUSED_STREAMS = 256;
+
   private static final Buffer PING = Buffer.buffer(new byte[8]);
 
   private final Vertx vertx;
@@ -32,8 +35,10 @@
   private int inFlight;
   private boolean heard;
   private boolean suspected;
+  private int unusedStreams;
   private int silentTicks;
   private long timerId;
+  private Runnable onUnusable = () -> {};
 
   ConnectionWatch(Vertx vertx, HttpConnection connection, RequestPathCounters counters) {
     this.vertx = vertx;
@@ -41,13 +46,21 @@
     this.counters = counters;
   }
 
-  void start(Runnable onClosed) {
+  /**
+   * Starts to watch.
+   *
+   * @param onUnusable called once when the connection takes no new calls any more
+   * @param onClosed called once when it is closed, after {@code onUnusable}
+   */
+  void start(Runnable onUnusable, Runnable onClosed) {
+    this.onUnusable = onUnusable;
     timerId = vertx.setPeriodic(INTERVAL_MS, id -> tick());
     // The calls on the connection report its loss themselves.
     connection.exceptionHandler(error -> {});
     connection.closeHandler(
         ignored -> {
           vertx.cancelTimer(timerId);
+          suspect();
           onClosed.run();
         });
   }
@@ -65,6 +78,25 @@
     heard = true;
   }
 
+  /**
+   * Records a stream that was granted but never used. The client of Vert.x 4.5 counts it as open
+   * until the connection closes, so a connection with many of them is replaced.
+   */
+  void streamUnused() {
+    unusedStreams++;
+    if (unusedStreams == MAX_UNUSED_STREAMS && !suspected) {
+      suspect();
+      connection.shutdown(SHUTDOWN_MS);
+    }
+  }
+
+  private void suspect() {
+    if (!suspected) {
+      suspected = true;
+      onUnusable.run();
+    }
+  }
+
   private void tick() {
     if (heard || inFlight == 0) {
       heard = false;
@@ -75,7 +107,7 @@
     if (silentTicks == 1) {
       connection.ping(PING).onSuccess(answer -> heard = true);
     } else if (silentTicks == SUSPECT_TICKS && !suspected) {
-      suspected = true;
+      suspect();
       // New calls get a new connection, while those in flight may still be answered.
       connection.shutdown(SHUTDOWN_MS);
     } else if (silentTicks == DEAD_TICKS) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/NodeClient.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/NodeClient.java
@@ -2,15 +2,14 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpVersion;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
 import org.acaciapond.routing.target.TargetEndpoint;
@@ -27,38 +26,26 @@
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int KEEP_ALIVE_S = 600;
   private static final int CONNECTION_WINDOW_BYTES = 4 * 1024 * 1024;
-  private static final int MAX_WAITING = 1_024;
-  private static final int CONNECTIONS_PER_NODE = 1;
 
-  private final HttpClient client;
+  private final Vertx vertx;
+  private final RequestPathCounters counters;
+  private final HttpClientOptions options =
+      new HttpClientOptions()
+          .setProtocolVersion(HttpVersion.HTTP_2)
+          .setHttp2ClearTextUpgrade(false)
+          .setConnectTimeout(CONNECT_TIMEOUT_MS)
+          .setHttp2KeepAliveTimeout(KEEP_ALIVE_S)
+          .setHttp2ConnectionWindowSize(CONNECTION_WINDOW_BYTES)
+          .setTcpNoDelay(true);
+
+  /** Read and written on the event loop of this client only, like the watches. */
+  private final Map<SocketAddress, NodePool> pools = new HashMap<>();
 
-  /** Read and written on the event loop of this client only. */
   private final Map<HttpConnection, ConnectionWatch> watches = new IdentityHashMap<>();
 
   NodeClient(Vertx vertx, RequestPathCounters counters) {
-    HttpClientOptions options =
-        new HttpClientOptions()
-            .setProtocolVersion(HttpVersion.HTTP_2)
-            .setHttp2ClearTextUpgrade(false)
-            .setConnectTimeout(CONNECT_TIMEOUT_MS)
-            .setHttp2KeepAliveTimeout(KEEP_ALIVE_S)
-            .setHttp2ConnectionWindowSize(CONNECTION_WINDOW_BYTES)
-            .setTcpNoDelay(true);
-    PoolOptions pool =
-        new PoolOptions().setHttp2MaxSize(CONNECTIONS_PER_NODE).setMaxWaitQueueSize(MAX_WAITING);
-    this.client =
-        vertx
-            .httpClientBuilder()
-            .with(options)
-            .with(pool)
-            .withConnectHandler(connection -> watch(vertx, connection, counters))
-            .build();
-  }
-
-  private void watch(Vertx vertx, HttpConnection connection, RequestPathCounters counters) {
-    ConnectionWatch watch = new ConnectionWatch(vertx, connection, counters);
-    watches.put(connection, watch);
-    watch.start(() -> watches.remove(connection));
+    this.vertx = vertx;
+    this.counters = counters;
   }
 
   /** Returns the watch of a connection, or null when it is closed. */
@@ -67,13 +54,21 @@
   }
 
   /** Returns a request on the connection to a node, connecting first when there is none. */
-  Future<HttpClientRequest> request(TargetEndpoint target, HttpMethod method, String uri) {
-    return client.request(
+  Future<HttpClientRequest> request(
+      TargetEndpoint target, HttpMethod method, String uri, long maxWaitMs) {
+    SocketAddress address = SocketAddress.inetSocketAddress(target.inboundPort(), target.address());
+    NodePool pool = pools.get(address);
+    if (pool == null) {
+      pool = new NodePool(vertx, options, counters, watches, ended -> pools.remove(address, ended));
+      pools.put(address, pool);
+    }
+    return pool.request(
         new RequestOptions()
-            .setServer(SocketAddress.inetSocketAddress(target.inboundPort(), target.address()))
+            .setServer(address)
             .setHost(target.service())
             .setPort(target.inboundPort())
             .setMethod(method)
-            .setURI(uri));
+            .setURI(uri),
+        maxWaitMs);
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -94,7 +94,16 @@
       refuse(decision.status(), decision.claimsNotRun(), "no target of " + service.name());
       return;
     }
-    send(client.request(next.endpoint(), request.method(), request.uri()));
+    long leftMs = TimeUnit.NANOSECONDS.toMillis(leftNanos());
+    send(client.request(next.endpoint(), request.method(), request.uri(), leftMs));
+  }
+
+  @Override
+  void onUnused(HttpClientRequest unused) {
+    ConnectionWatch found = client.watchOf(unused.connection());
+    if (found != null) {
+      found.streamUnused();
+    }
   }
 
   @Override
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
@@ -108,6 +108,9 @@
   /** Prepares the headers of an outgoing request. */
   abstract void prepare(HttpClientRequest request);
 
+  /** Receives a request that got its connection when the attempt was over already. */
+  void onUnused(HttpClientRequest unused) {}
+
   /** Receives the head of an answer; passes it on or ends the attempt. */
   abstract void onAnswer(HttpClientResponse response);
 
@@ -141,6 +144,7 @@
       if (result.succeeded()) {
         result.result().exceptionHandler(error -> {});
         result.result().reset();
+        onUnused(result.result());
       }
       return;
     }
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
@@ -304,4 +304,51 @@
     } while (answer.status() == 200);
     assertOutcome("not-run", 503, answer);
   }
+
+  /**
+   * A connection that is accepted but never answers its handshake must be replaced: the pool holds
+   * one connection to a node, so that all later calls to the node would wait for it.
+   */
+  @Test
+  void connectionThatGoesSilentInItsHandshakeIsReplaced() {
+    ProxyFixture.Relay relay = mesh.relay(mesh.addTarget(this::answer));
+    mesh.endpoints.clear();
+    mesh.addEndpoint(relay.port);
+    mesh.addEndpoint(relay.port);
+    relay.holdBack(true);
+    assertOutcome(MeshHeaders.OUTCOME_NOT_RUN, 504, mesh.call(HttpMethod.GET, "/quick", NONE));
+    relay.holdBack(false);
+    ProxyFixture.Answer answer = mesh.call(HttpMethod.GET, "/safe", NONE);
+    assertEquals(200, answer.status(), () -> answer.body().toString());
+  }
+
+  /**
+   * Calls whose deadline passes while they wait for a connection must give back their streams:
+   * otherwise a slow start under load uses up the streams of the connection for good.
+   */
+  @Test
+  void callsThatWaitedInVainForTheConnectionGiveTheirStreamsBack() {
+    try (ProxyFixture single = new ProxyFixture(1)) {
+      ProxyFixture.Relay relay = single.relay(single.addTarget(this::answer));
+      single.endpoints.clear();
+      single.addEndpoint(relay.port);
+      relay.delayMs(900);
+      List<Future<ProxyFixture.Answer>> late = new ArrayList<>();
+      for (int i = 0; i < 1_200; i++) {
+        late.add(
+            single.send(
+                single.outbound.port(),
+                "back",
+                HttpMethod.GET,
+                "/safe",
+                NONE,
+                MeshHeaders.DEADLINE_MS,
+                "20"));
+      }
+      late.forEach(ProxyFixture::await);
+      for (int i = 0; i < 10; i++) {
+        assertEquals(200, single.call(HttpMethod.GET, "/safe", NONE).status());
+      }
+    }
+  }
 }
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -179,6 +179,8 @@
 
   final class Relay {
     private final List<NetSocket> open = new CopyOnWriteArrayList<>();
+    private volatile boolean holdBack;
+    private volatile long delayMs;
     final int port;
 
     Relay(int toPort) {
@@ -189,15 +191,34 @@
                       .connectHandler(
                           near -> {
                             near.pause();
-                            vertx
-                                .createNetClient()
-                                .connect(toPort, "127.0.0.1")
-                                .onSuccess(far -> join(near, far));
+                            if (!holdBack) {
+                              connectLater(toPort, near);
+                            }
                           })
                       .listen(0, "127.0.0.1"))
               .actualPort();
     }
 
+    private void connectLater(int toPort, NetSocket near) {
+      vertx.setTimer(
+          1 + delayMs,
+          id ->
+              vertx
+                  .createNetClient()
+                  .connect(toPort, "127.0.0.1")
+                  .onSuccess(far -> join(near, far)));
+    }
+
+    /** Accepts new connections without ever answering on them. */
+    void holdBack(boolean on) {
+      holdBack = on;
+    }
+
+    /** Delays the first bytes of new connections. */
+    void delayMs(long ms) {
+      delayMs = ms;
+    }
+
     private void join(NetSocket near, NetSocket far) {
       open.add(near);
       open.add(far);
