Let large admission limits recover and check recovery after any history

Cause: the limit was kept in thousandths of a slot, so that the step of a limit above 1,000 slots rounded to nothing; up to 10,000 slots are allowed. The new test largeLimitRecovers failed before and passes now. Properties in virtual time check that the limit and its service time estimate, ejected targets and the retry budget recover after any history; they found no further fault.

--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/admission/AdmissionController.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/admission/AdmissionController.java
@@ -18,7 +18,9 @@
  */
 public final class AdmissionController {
 
-  private static final long SCALE = 1_000;
+  /** Fine enough that a step of one slot in 10,000 calls does not round to nothing. */
+  private static final long SCALE = 1_000_000;
+
   private static final long BACK_OFF_NANOS = 100_000_000;
   private static final long SMOOTHING = 16;
 
--- a/acaciapond-routing/src/test/java/org/acaciapond/routing/admission/AdmissionControllerTest.java
+++ b/acaciapond-routing/src/test/java/org/acaciapond/routing/admission/AdmissionControllerTest.java
@@ -126,4 +126,66 @@
     }
     assertEquals(10, admission.limit());
   }
+
+  /** A limit that stays low after a cold start would refuse calls to a healthy target for good. */
+  @Property(tries = 300)
+  void healthyTargetGetsAllSlotsBackAfterAnyHistory(
+      @ForAll @IntRange(min = 1, max = 64) int slots, @ForAll long seed) {
+    AdmissionController admission = new AdmissionController(time, limits(slots, 8));
+    history(admission, new Random(seed));
+    // The 200 calls are for the estimate of the service time, an average over about 16 calls.
+    int calls = slots * slots + slots + 200;
+    for (int i = 0; i < calls; i++) {
+      assertTrue(admission.tryAdmit());
+      admission.release(Duration.ofMillis(10).toNanos(), false);
+    }
+    assertEquals(slots, admission.limit());
+    for (int i = 0; i < slots; i++) {
+      assertTrue(admission.tryAdmit());
+    }
+    assertNull(admission.refusal(time.nanoTime() + Duration.ofMillis(50).toNanos()));
+  }
+
+  /** Runs slow, failed, refused and cancelled calls until none is left. */
+  private void history(AdmissionController admission, Random random) {
+    AtomicInteger running = new AtomicInteger();
+    Deque<AdmissionController.Waiting> waiting = new ArrayDeque<>();
+    int badShare = random.nextInt(101);
+    for (int i = 0; i < 500; i++) {
+      time.advance(Duration.ofMillis(random.nextInt(60)));
+      if (random.nextBoolean()) {
+        long deadline = time.nanoTime() + Duration.ofMillis(random.nextInt(500)).toNanos();
+        if (admission.tryAdmit()) {
+          running.incrementAndGet();
+        } else if (admission.refusal(deadline) == null) {
+          waiting.add(admission.enqueue(running::incrementAndGet));
+        }
+      } else if (running.get() > 0 && random.nextInt(4) > 0) {
+        running.decrementAndGet();
+        boolean bad = random.nextInt(100) < badShare;
+        admission.release(Duration.ofMillis(random.nextInt(5_000)).toNanos(), bad);
+      } else if (!waiting.isEmpty()) {
+        waiting.poll().cancel();
+      }
+    }
+    waiting.forEach(AdmissionController.Waiting::cancel);
+    while (running.get() > 0) {
+      running.decrementAndGet();
+      admission.release(Duration.ofSeconds(5).toNanos(), true);
+    }
+  }
+
+  /** The step of a large limit must not round to nothing. */
+  @Test
+  void largeLimitRecovers() {
+    AdmissionController admission = new AdmissionController(time, limits(2_000, 1));
+    assertTrue(admission.tryAdmit());
+    admission.release(1, true);
+    int reduced = admission.limit();
+    for (int i = 0; i < 2_000; i++) {
+      assertTrue(admission.tryAdmit());
+      admission.release(1, false);
+    }
+    assertTrue(admission.limit() > reduced);
+  }
 }
--- a/acaciapond-routing/src/test/java/org/acaciapond/routing/retry/RetryBudgetTest.java
+++ b/acaciapond-routing/src/test/java/org/acaciapond/routing/retry/RetryBudgetTest.java
@@ -43,4 +43,19 @@
             });
     assertEquals(50, granted.sum());
   }
+
+  /** A budget that was spent must grant retries again with the next calls. */
+  @Property
+  void tenCallsGrantOneRetryAfterAnyHistory(@ForAll List<Boolean> callOrRetry) {
+    RetryBudget budget = new RetryBudget();
+    for (boolean isCall : callOrRetry) {
+      if (isCall) {
+        budget.onCall();
+      } else {
+        budget.tryRetry();
+      }
+    }
+    IntStream.range(0, 10).forEach(i -> budget.onCall());
+    assertTrue(budget.tryRetry());
+  }
 }
--- a/acaciapond-routing/src/test/java/org/acaciapond/routing/target/OutlierDetectorTest.java
+++ b/acaciapond-routing/src/test/java/org/acaciapond/routing/target/OutlierDetectorTest.java
@@ -92,4 +92,28 @@
     }
     assertEquals(0, detector.ejectionCount());
   }
+
+  /** A target whose trial is never granted again would stay without work for good. */
+  @Property(tries = 300)
+  void healthyTargetsReturnAfterAnyHistory(
+      @ForAll @IntRange(min = 1, max = 12) int size, @ForAll long seed) {
+    OutlierDetector set = new OutlierDetector(time);
+    Random random = new Random(seed);
+    AttemptResult[] results = AttemptResult.values();
+    set.setMembers(hosts(size));
+    for (int i = 0; i < 500; i++) {
+      String host = "h" + random.nextInt(size);
+      if (set.tryUse(host)) {
+        set.onResult(host, results[random.nextInt(results.length)], random.nextInt(500) * MS);
+      }
+      time.advance(Duration.ofMillis(random.nextInt(200)));
+    }
+    // The longest ejection is 2 s doubled four times.
+    time.advance(Duration.ofSeconds(32));
+    for (String host : hosts(size)) {
+      assertTrue(set.tryUse(host));
+      set.onResult(host, AttemptResult.ANSWERED, MS);
+    }
+    assertEquals(0, set.ejectedCount());
+  }
 }
