Check announcements, remove mesh headers of outside callers, close the tracer

- A malformed announcement of the target gets 400 with the code TARGET_ANNOUNCEMENT_INVALID instead of 500; version, port and weight are checked.
- The receiving node removes every x-acaciapond-* header of a call without a caller, so that an outside caller cannot mark a retry or set a deadline.
- The connections to the own target follow the configured limit; the client of the old limit is closed when its last call has ended.
- /ready names what the node waits for.
- The tracer is closed on stop, so that its last batch is exported.
- A refusal of the outbound node states how the last attempt ended.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -1,10 +1,12 @@
 package org.acaciapond.node;
 
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.lifecycle.OrderedServices;
@@ -71,6 +73,7 @@
   private final MembershipService membership;
   private final DistributionService distribution;
   private final RolloutService rollouts;
+  private final HopTracer tracer;
   private final InboundProxy inbound;
   private final OutboundProxy outbound;
   private final AdminServer admin;
@@ -104,13 +107,19 @@
             ? newDistribution(vertx, membership, membership)
             : newDistribution(vertx, fixedMembers, new LocalGossipStore());
     this.rollouts = newRollouts(vertx);
-    HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
+    this.tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
     this.outbound = newOutbound(vertx, requestPath, tracer);
     this.inbound = newInbound(vertx, requestPath, tracer);
     RequestPathStatus status = new RequestPathStatus(holder, membership, outbound, inbound);
     this.admin =
         new AdminServer(
-            vertx, holder, localTarget, port(NodeSettings.ADMIN_PORT), metrics, status::addTo);
+            vertx,
+            holder,
+            localTarget,
+            port(NodeSettings.ADMIN_PORT),
+            metrics,
+            status::addTo,
+            () -> polls() ? Optional.empty() : distribution.waitingFor());
     addMetrics();
     // Stopped in reverse order: the own target may call others until its last call has ended.
     this.base = new OrderedServices(List.of(transport, outbound, inbound, admin));
@@ -304,7 +313,9 @@
         .all()
         .unis(control.stop(), inbound.stop())
         .discardItems()
-        .chain(base::stop);
+        .chain(base::stop)
+        .emitOn(Infrastructure.getDefaultExecutor())
+        .invoke(tracer::close);
   }
 
   /** Returns the holder of the snapshot in force. */
--- a/acaciapond-node/src/main/java/org/acaciapond/node/admin/AdminServer.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/admin/AdminServer.java
@@ -5,36 +5,49 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
 import org.acaciapond.node.membership.LocalTarget;
+import org.acaciapond.node.membership.TargetException;
 import org.acaciapond.node.telemetry.NodeMetrics;
 
 /** Loopback listener for health, status and the announcements of the target. */
 public final class AdminServer implements ManagedService {
 
   private static final long MAX_BODY_BYTES = 16 * 1024;
+  private static final int BAD_REQUEST = 400;
 
   private final SnapshotHolder holder;
   private final LocalTarget localTarget;
   private final HttpServer server;
   private final NodeMetrics metrics;
   private final Consumer<JsonObject> requestPathStatus;
+  private final Supplier<Optional<String>> waitingFor;
 
-  /** Creates a listener. */
+  /**
+   * Creates a listener.
+   *
+   * @param requestPathStatus adds the state of the request path to a status
+   * @param waitingFor names what a node that is not ready waits for
+   */
   public AdminServer(
       Vertx vertx,
       SnapshotHolder holder,
       LocalTarget localTarget,
       int port,
       NodeMetrics metrics,
-      Consumer<JsonObject> requestPathStatus) {
+      Consumer<JsonObject> requestPathStatus,
+      Supplier<Optional<String>> waitingFor) {
+    this.waitingFor = waitingFor;
     this.metrics = metrics;
     this.requestPathStatus = requestPathStatus;
     this.holder = holder;
@@ -71,10 +84,13 @@
 
   private void ready(RoutingContext context) {
     boolean ready = holder.current().version().sequence() > 0;
-    context
-        .response()
-        .setStatusCode(ready ? 200 : 503)
-        .end(ready ? "ready\n" : "no configuration is in force yet\n");
+    context.response().setStatusCode(ready ? 200 : 503).end(ready ? "ready\n" : notReady());
+  }
+
+  private String notReady() {
+    return "no configuration is in force yet"
+        + waitingFor.get().map(what -> "; waiting for " + what).orElse("")
+        + "\n";
   }
 
   private void metrics(RoutingContext context) {
@@ -96,13 +112,34 @@
   }
 
   private void announceTarget(RoutingContext context) {
-    JsonObject body = context.body().asJsonObject();
-    localTarget.announce(
-        new LocalTarget.Announcement(
-            body.getString("version"),
-            body.getInteger("port"),
-            body.getInteger("weight", 1),
-            body.getBoolean("leaving", false)));
+    try {
+      localTarget.announce(announcement(context));
+    } catch (TargetException e) {
+      context
+          .response()
+          .setStatusCode(BAD_REQUEST)
+          .end(
+              new JsonObject()
+                  .put("code", e.code().name())
+                  .put("message", e.getMessage())
+                  .encode());
+      return;
+    }
     context.response().setStatusCode(204).end();
   }
+
+  private static LocalTarget.Announcement announcement(RoutingContext context) {
+    try {
+      JsonObject body = context.body().asJsonObject();
+      Integer port = body == null ? null : body.getInteger("port");
+      // The typed getter would turn a number into text.
+      if (body == null || port == null || !(body.getValue("version") instanceof String version)) {
+        throw new TargetException("the announcement needs version and port", null);
+      }
+      int weight = body.getInteger("weight", 1);
+      return new LocalTarget.Announcement(version, port, weight, body.getBoolean("leaving", false));
+    } catch (DecodeException | ClassCastException | NullPointerException e) {
+      throw new TargetException("the announcement is malformed", e);
+    }
+  }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
@@ -1,7 +1,6 @@
 package org.acaciapond.node.proxy;
 
 import io.vertx.core.Context;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -23,7 +22,7 @@
   private static final int GATEWAY_TIMEOUT = 504;
 
   private final InboundContext context;
-  private final HttpClient client;
+  private final TargetPool.Lease pool;
   private final String service;
   private final LocalTarget.Announcement target;
   private final Context loop;
@@ -34,7 +33,7 @@
 
   InboundCall(
       InboundContext context,
-      HttpClient client,
+      TargetPool.Lease pool,
       HttpServerRequest request,
       String service,
       LocalTarget.Announcement target,
@@ -49,7 +48,7 @@
         context.counters(),
         context.tracer().start("inbound", request.headers()));
     this.context = context;
-    this.client = client;
+    this.pool = pool;
     this.service = service;
     this.target = target;
     this.loop = context.vertx().getOrCreateContext();
@@ -79,7 +78,7 @@
     }
     holdsSlot = true;
     send(
-        client.request(
+        pool.client.request(
             new RequestOptions()
                 .setServer(SocketAddress.inetSocketAddress(target.port(), "127.0.0.1"))
                 .setHost(service)
@@ -157,6 +156,7 @@
       overloaded |= end == End.ANSWER_CUT || end == End.ANSWER_LATE;
       releaseSlot();
     }
+    pool.release();
     context.drain().exit();
   }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -3,10 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.PoolOptions;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -27,8 +24,6 @@
 
   private static final int FORBIDDEN = 403;
   private static final int UNAVAILABLE = 503;
-  private static final int CONNECT_TIMEOUT_MS = 1_000;
-  private static final int KEEP_ALIVE_S = 30;
   private static final long TARGET_WATCH_MS = 200;
 
   /** Bounds the connections of outside callers and other nodes. */
@@ -124,24 +119,13 @@
   }
 
   private Handler<HttpServerRequest> newHandler() {
-    int connections = Math.max(1, LimitsConfig.DEFAULT.connections() / 2);
-    HttpClient client =
-        context
-            .vertx()
-            .httpClientBuilder()
-            .with(
-                new HttpClientOptions()
-                    .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                    .setKeepAliveTimeout(KEEP_ALIVE_S)
-                    .setTcpNoDelay(true))
-            .with(new PoolOptions().setHttp1MaxSize(connections))
-            .build();
+    TargetPool pool = new TargetPool(context.vertx(), context.options().eventLoops());
     Handler<HttpServerRequest> outside = ingress.get();
-    return request -> onRequest(request, client, outside);
+    return request -> onRequest(request, pool, outside);
   }
 
   private void onRequest(
-      HttpServerRequest request, HttpClient client, Handler<HttpServerRequest> outside) {
+      HttpServerRequest request, TargetPool pool, Handler<HttpServerRequest> outside) {
     Snapshot snapshot = holder.current();
     String caller = request.getHeader(MeshHeaders.CALLER);
     ServiceConfig own = snapshot.service(snapshot.scope().ownService());
@@ -151,6 +135,7 @@
       return;
     }
     if (caller == null) {
+      MeshHeaders.removeFrom(request.headers());
       outside.handle(request);
       return;
     }
@@ -167,7 +152,8 @@
     RouteConfig route = routes.match(own, request.uri());
     long deadline = Deadlines.read(request, route.timeoutMs(), context.time());
     long maxBodyBytes = own.limits().maxBodyBytes();
-    new InboundCall(context, client, request, own.name(), target, maxBodyBytes, deadline)
+    TargetPool.Lease lease = pool.acquire(own.limits().connections());
+    new InboundCall(context, lease, request, own.name(), target, maxBodyBytes, deadline)
         .start(maxBodyBytes);
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -1,5 +1,8 @@
 package org.acaciapond.node.proxy;
 
+import io.vertx.core.MultiMap;
+import java.util.List;
+
 /** Names of the headers that nodes add to calls. */
 public final class MeshHeaders {
 
@@ -39,5 +42,19 @@
   /** Time from the hand-over to the target until the head of its answer, in microseconds. */
   public static final String TARGET_TIME_US = "x-acaciapond-target-time-us";
 
+  private static final String PREFIX = "x-acaciapond-";
+
   private MeshHeaders() {}
+
+  /**
+   * Removes all headers of the mesh from the call of an outside caller, which must not be able to
+   * claim a caller, a retry or a time in the target.
+   */
+  static void removeFrom(MultiMap headers) {
+    for (String name : List.copyOf(headers.names())) {
+      if (name.regionMatches(true, 0, PREFIX, 0, PREFIX.length())) {
+        headers.remove(name);
+      }
+    }
+  }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -202,7 +202,8 @@
     if (decision == CallDecision.RETRY) {
       retryElsewhere(ended);
     } else {
-      refuse(decision.status(), decision.claimsNotRun(), "no answer from " + service.name());
+      String reason = "no answer from " + service.name() + ": " + result;
+      refuse(decision.status(), decision.claimsNotRun(), reason);
     }
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/OpenTelemetryHopTracer.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/OpenTelemetryHopTracer.java
@@ -21,7 +21,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Tracer of hops by OpenTelemetry with W3C trace context; closing it exports what is pending. */
-public final class OpenTelemetryHopTracer implements HopTracer, AutoCloseable {
+public final class OpenTelemetryHopTracer implements HopTracer {
 
   private static final double MILLION = 1_000_000;
   private static final int SERVER_ERROR = 500;
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
@@ -1,10 +1,13 @@
 package org.acaciapond.node.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
@@ -351,4 +354,55 @@
       }
     }
   }
+
+  /** An outside caller must not switch off retries, spend deadlines or state a target time. */
+  @Test
+  void meshHeadersOfOutsideCallersAreRemoved() {
+    CompletableFuture<MultiMap> seen = new CompletableFuture<>();
+    int target =
+        ProxyFixture.await(
+                mesh.vertx
+                    .createHttpServer()
+                    .requestHandler(
+                        request -> {
+                          seen.complete(request.headers());
+                          request.response().end();
+                        })
+                    .listen(0, "127.0.0.1"))
+            .actualPort();
+    int node = mesh.addNode("front", target);
+    ProxyFixture.Answer answer =
+        ProxyFixture.await(
+            mesh.send(
+                node,
+                "front",
+                HttpMethod.GET,
+                "/safe",
+                NONE,
+                "X-Acaciapond-Retry",
+                "1",
+                MeshHeaders.TARGET_TIME_US,
+                "7",
+                MeshHeaders.DEADLINE_MS,
+                "0"));
+    assertEquals(200, answer.status());
+    assertNull(seen.join().get(MeshHeaders.RETRY));
+    assertNull(seen.join().get(MeshHeaders.TARGET_TIME_US));
+  }
+
+  /** A changed limit must take effect on later calls without cutting those in flight. */
+  @Test
+  void poolOfTheTargetFollowsTheConfiguredConnections() {
+    TargetPool pool = new TargetPool(mesh.vertx, 2);
+    TargetPool.Lease first = pool.acquire(10);
+    assertSame(first, pool.acquire(10));
+    TargetPool.Lease second = pool.acquire(20);
+    assertNotSame(first, second);
+    int port =
+        ProxyFixture.await(
+                mesh.vertx.createHttpServer().requestHandler(this::answer).listen(0, "127.0.0.1"))
+            .actualPort();
+    var request = first.client.request(HttpMethod.GET, port, "127.0.0.1", "/");
+    assertEquals(200, ProxyFixture.await(request.compose(r -> r.send())).statusCode());
+  }
 }
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -120,13 +120,18 @@
 
   /** Adds an inbound node whose target listens on a port, or does not listen at all. */
   int addNode(int targetPort) {
+    return addNode("back", targetPort);
+  }
+
+  /** Adds an inbound node of a service. */
+  int addNode(String service, int targetPort) {
     LocalTarget target = new LocalTarget();
     target.announce(new LocalTarget.Announcement("v1", targetPort, 1, false));
     InboundProxy inbound =
         new InboundProxy(
             vertx,
             TimeSource.system(),
-            holder("back"),
+            holder(service),
             target,
             "127.0.0.1",
             0,
