--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -94,7 +94,16 @@
       refuse(decision.status(), decision.claimsNotRun(), "no target of " + service.name());
       return;
     }
-    send(client.request(next.endpoint(), request.method(), request.uri()));
+    long leftMs = TimeUnit.NANOSECONDS.toMillis(leftNanos());
+    send(client.request(next.endpoint(), request.method(), request.uri(), leftMs));
+  }
+
+  @Override
+  void onUnused(HttpClientRequest unused) {
+    ConnectionWatch found = client.watchOf(unused.connection());
+    if (found != null) {
+      found.streamUnused();
+    }
   }
 
   @Override
@@ -193,7 +202,8 @@
     if (decision == CallDecision.RETRY) {
       retryElsewhere(ended);
     } else {
-      refuse(decision.status(), decision.claimsNotRun(), "no answer from " + service.name());
+      String reason = "no answer from " + service.name() + ": " + result;
+      refuse(decision.status(), decision.claimsNotRun(), reason);
     }
   }
 
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyCallsTest.java
@@ -1,10 +1,13 @@
 package org.acaciapond.node.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
@@ -304,4 +307,102 @@
     } while (answer.status() == 200);
     assertOutcome("not-run", 503, answer);
   }
+
+  /**
+   * A connection that is accepted but never answers its handshake must be replaced: the pool holds
+   * one connection to a node, so that all later calls to the node would wait for it.
+   */
+  @Test
+  void connectionThatGoesSilentInItsHandshakeIsReplaced() {
+    ProxyFixture.Relay relay = mesh.relay(mesh.addTarget(this::answer));
+    mesh.endpoints.clear();
+    mesh.addEndpoint(relay.port);
+    mesh.addEndpoint(relay.port);
+    relay.holdBack(true);
+    assertOutcome(MeshHeaders.OUTCOME_NOT_RUN, 504, mesh.call(HttpMethod.GET, "/quick", NONE));
+    relay.holdBack(false);
+    ProxyFixture.Answer answer = mesh.call(HttpMethod.GET, "/safe", NONE);
+    assertEquals(200, answer.status(), () -> answer.body().toString());
+  }
+
+  /**
+   * Calls whose deadline passes while they wait for a connection must give back their streams:
+   * otherwise a slow start under load uses up the streams of the connection for good.
+   */
+  @Test
+  void callsThatWaitedInVainForTheConnectionGiveTheirStreamsBack() {
+    try (ProxyFixture single = new ProxyFixture(1)) {
+      ProxyFixture.Relay relay = single.relay(single.addTarget(this::answer));
+      single.endpoints.clear();
+      single.addEndpoint(relay.port);
+      relay.delayMs(900);
+      List<Future<ProxyFixture.Answer>> late = new ArrayList<>();
+      for (int i = 0; i < 1_200; i++) {
+        late.add(
+            single.send(
+                single.outbound.port(),
+                "back",
+                HttpMethod.GET,
+                "/safe",
+                NONE,
+                MeshHeaders.DEADLINE_MS,
+                "20"));
+      }
+      late.forEach(ProxyFixture::await);
+      for (int i = 0; i < 10; i++) {
+        assertEquals(200, single.call(HttpMethod.GET, "/safe", NONE).status());
+      }
+    }
+  }
+
+  /** An outside caller must not switch off retries, spend deadlines or state a target time. */
+  @Test
+  void meshHeadersOfOutsideCallersAreRemoved() {
+    CompletableFuture<MultiMap> seen = new CompletableFuture<>();
+    int target =
+        ProxyFixture.await(
+                mesh.vertx
+                    .createHttpServer()
+                    .requestHandler(
+                        request -> {
+                          seen.complete(request.headers());
+                          request.response().end();
+                        })
+                    .listen(0, "127.0.0.1"))
+            .actualPort();
+    int node = mesh.addNode("front", target);
+    ProxyFixture.Answer answer =
+        ProxyFixture.await(
+            mesh.send(
+                node,
+                "front",
+                HttpMethod.GET,
+                "/safe",
+                NONE,
+                "X-Acaciapond-Retry",
+                "1",
+                MeshHeaders.TARGET_TIME_US,
+                "7",
+                MeshHeaders.DEADLINE_MS,
+                "0"));
+    assertEquals(200, answer.status());
+    assertNull(seen.join().get(MeshHeaders.RETRY));
+    assertNull(seen.join().get(MeshHeaders.TARGET_TIME_US));
+  }
+
+  /** A changed limit must take effect on later calls without cutting those in flight. */
+  @Test
+  void poolOfTheTargetFollowsTheConfiguredConnections() {
+    TargetPool pool = new TargetPool(mesh.vertx, 2);
+    TargetPool.Lease first = pool.acquire(10);
+    assertSame(first, pool.acquire(10));
+    TargetPool.Lease second = pool.acquire(20);
+    assertNotSame(first, second);
+    int port =
+        ProxyFixture.await(
+                mesh.vertx.createHttpServer().requestHandler(this::answer).listen(0, "127.0.0.1"))
+            .actualPort();
+    var request = first.client.request(HttpMethod.GET, port, "127.0.0.1", "/");
+    assertEquals(200, ProxyFixture.await(request.compose(r -> r.send())).statusCode());
+  }
 }
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/ProxyFixture.java
@@ -120,13 +120,18 @@
 
   /** Adds an inbound node whose target listens on a port, or does not listen at all. */
   int addNode(int targetPort) {
+    return addNode("back", targetPort);
+  }
+
+  /** Adds an inbound node of a service. */
+  int addNode(String service, int targetPort) {
     LocalTarget target = new LocalTarget();
     target.announce(new LocalTarget.Announcement("v1", targetPort, 1, false));
     InboundProxy inbound =
         new InboundProxy(
             vertx,
             TimeSource.system(),
-            holder("back"),
+            holder(service),
             target,
             "127.0.0.1",
             0,
@@ -179,6 +184,8 @@
 
   final class Relay {
     private final List<NetSocket> open = new CopyOnWriteArrayList<>();
+    private volatile boolean holdBack;
+    private volatile long delayMs;
     final int port;
 
     Relay(int toPort) {
@@ -189,15 +196,34 @@
                       .connectHandler(
                           near -> {
                             near.pause();
-                            vertx
-                                .createNetClient()
-                                .connect(toPort, "127.0.0.1")
-                                .onSuccess(far -> join(near, far));
+                            if (!holdBack) {
+                              connectLater(toPort, near);
+                            }
                           })
                       .listen(0, "127.0.0.1"))
               .actualPort();
     }
 
+    private void connectLater(int toPort, NetSocket near) {
+      vertx.setTimer(
+          1 + delayMs,
+          id ->
+              vertx
+                  .createNetClient()
+                  .connect(toPort, "127.0.0.1")
+                  .onSuccess(far -> join(near, far)));
+    }
+
+    /** Accepts new connections without ever answering on them. */
+    void holdBack(boolean on) {
+      holdBack = on;
+    }
+
+    /** Delays the first bytes of new connections. */
+    void delayMs(long ms) {
+      delayMs = ms;
+    }
+
     private void join(NetSocket near, NetSocket far) {
       open.add(near);
       open.add(far);
