Run the converge experiment on the real membership

The experiment used a fixed member list, so that neither the bytes of gossip nor its connections showed. Fleet now starts whole nodes in several failure domains that find one another by seeds, and publishes edits once each node knows the running process of every other one. TransportCounters counts the bytes sent by message family.

At 160 nodes in one process the start used up the 20,000 file descriptors ("Too many open files" in the first run): gossip picks receivers at random and each got a connection.

Two scenarios are new: mass-restart and platform-outage.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
@@ -3,19 +3,20 @@
 import com.sun.management.OperatingSystemMXBean;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
-import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.platform.PlatformServer;
-import org.acaciapond.platform.client.ConfigPublisher;
-import org.acaciapond.platform.client.HttpPlatformClient;
-import org.acaciapond.platform.client.PublishResult;
+import org.acaciapond.protocol.transport.MessageFamily;
 
 /** Command {@code converge}; exits 0 when all edits arrived and no invariant broke, else 1. */
 public final class ConvergeCommand {
@@ -23,30 +24,34 @@
   private static final int EXIT_DONE = 0;
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_BAD_INPUT = 2;
-  private static final long PUBLISH_TIMEOUT_MS = 2_000;
-  private static final long CONVERGE_TIMEOUT_MS = 60_000;
+  private static final long JOIN_TIMEOUT_MS = 120_000;
+
+  /** Time in which the first gossip after the start ends. */
+  private static final long SETTLE_MS = 15_000;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Readings of the cumulative counters at one moment. */
   private record Reading(
-      long nanos, long cpuNanos, long peerBytes, long platformBytes, long reads, long writes) {}
+      long nanos,
+      long cpuNanos,
+      Map<MessageFamily, Long> peerBytes,
+      long platformBytes,
+      long reads,
+      long writes) {}
 
   private final ConvergeOptions options;
   private final PlatformServer platform;
-  private final ConfigPublisher publisher;
   private final Fleet fleet;
-  private int published;
+  private final Edits edits;
 
   private ConvergeCommand(Vertx vertx, ConvergeOptions options) {
     this.options = options;
     this.platform = new PlatformServer(vertx, "127.0.0.1", 0);
     platform.start().await().indefinitely();
-    this.publisher =
-        new ConfigPublisher(
-            new HttpPlatformClient(vertx, "127.0.0.1", platform.port(), PUBLISH_TIMEOUT_MS),
-            TimeSource.system());
     this.fleet = new Fleet(options, platform.port());
+    this.edits = new Edits(vertx, platform.port(), fleet, options.services());
   }
 
   /** Runs the command and returns its exit code. */
@@ -55,11 +60,16 @@
     final OptionSpec<Integer> nodes = number(parser, "nodes", "nodes in this process", 20);
     final OptionSpec<Integer> changes = number(parser, "changes", "edits to measure", 20);
     final OptionSpec<Integer> services = number(parser, "services", "services", 20);
-    final OptionSpec<Integer> domains = number(parser, "domains", "failure domains", 2);
+    final OptionSpec<Integer> domains = number(parser, "domains", "failure domains", 4);
     final OptionSpec<Integer> intervalMs =
         number(parser, "edit-interval-ms", "least time between edits", 1_000);
     final OptionSpec<String> distribution =
         parser.accepts("distribution", "relay or poll").withRequiredArg().defaultsTo("relay");
+    final OptionSpec<String> scenario =
+        parser
+            .accepts("scenario", "edits, mass-restart or platform-outage")
+            .withRequiredArg()
+            .defaultsTo("edits");
     parser.accepts("json", "print one JSON object");
     ConvergeOptions converge;
     OptionSet set;
@@ -72,7 +82,8 @@
               set.valueOf(distribution),
               set.valueOf(services),
               set.valueOf(domains),
-              set.valueOf(intervalMs));
+              set.valueOf(intervalMs),
+              Scenario.ofName(set.valueOf(scenario)));
     } catch (OptionException | IllegalArgumentException e) {
       System.err.println(e.getMessage());
       return EXIT_BAD_INPUT;
@@ -97,7 +108,7 @@
       boolean broken =
           result.getLong("versions_regressed") > 0 || result.getLong("dangling_routes") > 0;
       return broken ? EXIT_FAILED : EXIT_DONE;
-    } catch (CompletionException | IllegalStateException e) {
+    } catch (CompletionException | IllegalStateException | IOException e) {
       System.err.println("converge: " + e.getMessage());
       return EXIT_FAILED;
     } catch (InterruptedException e) {
@@ -116,41 +127,39 @@
     }
   }
 
-  private JsonObject measure() throws InterruptedException {
+  private JsonObject measure() throws InterruptedException, IOException {
     fleet.start();
+    long startNanos = System.nanoTime();
+    long missing = fleet.awaitJoined(JOIN_TIMEOUT_MS);
+    if (missing > 0) {
+      throw new IllegalStateException(missing + " nodes do not know all others");
+    }
+    JsonObject result = head().put("joined_ms", (System.nanoTime() - startNanos) / NANOS_PER_MILLI);
     // The first edit and the first intervals warm up and are not measured.
-    publishAndAwait();
-    Thread.sleep(options.editIntervalMs());
+    edits.publishAndAwait();
+    Thread.sleep(Math.max(options.editIntervalMs(), SETTLE_MS));
+    if (options.scenario() == Scenario.EDITS) {
+      measureEdits(result);
+    } else {
+      result.mergeIn(new Recovery(options, platform, fleet, edits).run());
+    }
+    result
+        .put("versions_regressed", fleet.watch().regressedCount())
+        .put("dangling_routes", fleet.watch().danglingCount());
+    fleet.stop();
+    return result;
+  }
+
+  private void measureEdits(JsonObject result) throws InterruptedException {
     Reading before = read();
     double[] convergenceMs = new double[options.changes()];
     for (int i = 0; i < options.changes(); i++) {
       long startNanos = System.nanoTime();
-      convergenceMs[i] = publishAndAwait() / NANOS_PER_MILLI;
+      convergenceMs[i] = edits.publishAndAwait() / NANOS_PER_MILLI;
       long spentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
       Thread.sleep(Math.max(0, options.editIntervalMs() - spentMs));
     }
-    Reading after = read();
-    long heapBytes = usedHeapBytes();
-    fleet.stop();
-    return toJson(convergenceMs, before, after, heapBytes);
-  }
-
-  /** Returns the nanoseconds from the call to publish, just before acceptance, to the last node. */
-  private long publishAndAwait() throws InterruptedException {
-    published++;
-    String text = SyntheticConfig.text(options.services(), published);
-    fleet.expect(published);
-    long startNanos = System.nanoTime();
-    PublishResult result = publisher.publish(text, "bench").await().indefinitely();
-    if (result.outcome() != PublishResult.Outcome.ACCEPTED) {
-      throw new IllegalStateException("edit " + published + " was " + result.outcome());
-    }
-    long missing = fleet.await(CONVERGE_TIMEOUT_MS);
-    if (missing > 0) {
-      throw new IllegalStateException(
-          "edit " + published + " did not reach " + missing + " nodes in time");
-    }
-    return System.nanoTime() - startNanos;
+    addFigures(result, convergenceMs, before, read(), usedHeapBytes());
   }
 
   private Reading read() {
@@ -158,8 +167,8 @@
     return new Reading(
         System.nanoTime(),
         system.getProcessCpuTime(),
-        fleet.peerBytes(),
-        fleet.platformBytes(),
+        peerBytes(),
+        fleet.sum(Host::platformBytes),
         platform.stats().reads(),
         platform.stats().writes());
   }
@@ -169,23 +178,44 @@
     return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
   }
 
-  private JsonObject toJson(double[] convergenceMs, Reading before, Reading after, long heapBytes) {
-    double[] sorted = convergenceMs.clone();
-    Arrays.sort(sorted);
-    double seconds = (after.nanos() - before.nanos()) / NANOS_PER_SECOND;
-    double nodeSeconds = seconds * options.nodes();
-    double peerRate = (after.peerBytes() - before.peerBytes()) / nodeSeconds;
-    double platformRate = (after.platformBytes() - before.platformBytes()) / nodeSeconds;
-    double cpuNanos = after.cpuNanos() - before.cpuNanos();
+  private Map<MessageFamily, Long> peerBytes() {
+    Map<MessageFamily, Long> bytes = new EnumMap<>(MessageFamily.class);
+    for (MessageFamily family : MessageFamily.values()) {
+      bytes.put(family, fleet.sum(host -> host.peerBytes(family)));
+    }
+    return bytes;
+  }
+
+  private JsonObject head() {
     return new JsonObject()
         .put("nodes", options.nodes())
         .put("nodes_per_process", options.nodes())
         .put("services", options.services())
         .put("domains", options.domains())
         .put("distribution", options.distribution())
+        .put("scenario", options.scenario().optionName())
         .put("changes", options.changes())
         .put("edit_interval_ms", options.editIntervalMs())
-        .put("membership", "fixed")
+        .put("membership", "real");
+  }
+
+  private void addFigures(
+      JsonObject result, double[] convergenceMs, Reading before, Reading after, long heapBytes) {
+    double[] sorted = convergenceMs.clone();
+    Arrays.sort(sorted);
+    double seconds = (after.nanos() - before.nanos()) / NANOS_PER_SECOND;
+    double nodeSeconds = seconds * options.nodes();
+    double peerRate = 0;
+    for (MessageFamily family : MessageFamily.values()) {
+      long bytes =
+          after.peerBytes().getOrDefault(family, 0L) - before.peerBytes().getOrDefault(family, 0L);
+      double rate = bytes / nodeSeconds;
+      result.put(family.name().toLowerCase(Locale.ROOT) + "_bytes_per_node_s", rate);
+      peerRate += rate;
+    }
+    double platformRate = (after.platformBytes() - before.platformBytes()) / nodeSeconds;
+    double cpuNanos = after.cpuNanos() - before.cpuNanos();
+    result
         .put("convergence_ms_p50", percentile(sorted, 0.50))
         .put("convergence_ms_p99", percentile(sorted, 0.99))
         .put("convergence_ms_max", sorted[sorted.length - 1])
@@ -196,9 +226,7 @@
         .put("cpu_baseline_subtracted", false)
         .put("heap_bytes_per_node", heapBytes / options.nodes())
         .put("platform_reads_per_s", (after.reads() - before.reads()) / seconds)
-        .put("platform_writes_per_s", (after.writes() - before.writes()) / seconds)
-        .put("versions_regressed", fleet.watch().regressedCount())
-        .put("dangling_routes", fleet.watch().danglingCount());
+        .put("platform_writes_per_s", (after.writes() - before.writes()) / seconds);
   }
 
   /** Returns the value by nearest rank. */
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Fleet.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Fleet.java
@@ -2,138 +2,156 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
-import org.acaciapond.common.settings.SettingsLoader;
-import org.acaciapond.common.time.TimeSource;
-import org.acaciapond.config.snapshot.Snapshot;
-import org.acaciapond.config.version.ConfigVersion;
-import org.acaciapond.membership.Member;
-import org.acaciapond.membership.MemberState;
-import org.acaciapond.node.NodeProcess;
-import org.acaciapond.node.NodeSettings;
-
-/** Nodes of the experiment in one process. */
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+
+/**
+ * Hosts of the experiment in one process.
+ *
+ * <p>The hosts of a failure domain are in two groups, each with an event loop of its own, so that a
+ * whole domain or half of one can crash at a moment: closing the loop ends all its sockets and
+ * timers without announcement.
+ */
 final class Fleet {
 
-  private static final String IP = "127.0.0.1";
-
-  /** Event loops that the nodes share; a node of its own process has its own. */
-  private static final int MAX_EVENT_LOOPS = 8;
-
+  private static final int GROUPS_PER_DOMAIN = 2;
   private static final int WORKERS = 2;
+  private static final long CHECK_INTERVAL_MS = 2;
+
+  /** Seeds of a node, over all domains. */
+  private static final int SEEDS = 4;
 
-  /** Edit that the nodes are reaching. */
-  private record Wave(long sequence, CountDownLatch missing) {}
+  /** Hosts on one event loop. */
+  private static final class Group {
+    private final List<Host> hosts = new ArrayList<>();
+    private Vertx loop = newLoop();
+  }
 
-  private final List<Vertx> loops = new ArrayList<>();
-  private final List<NodeProcess> nodes = new ArrayList<>();
-  private final FixedMembers members = new FixedMembers();
-  private final ConvergeOptions options;
+  private final List<Group> groups = new ArrayList<>();
+  private final List<Host> hosts = new ArrayList<>();
   private final InvariantWatch watch = new InvariantWatch();
-  private volatile Wave wave = new Wave(0, new CountDownLatch(0));
 
-  /** Creates the nodes; they are not started yet. */
+  /** Creates the hosts; their nodes are not started yet. */
   Fleet(ConvergeOptions options, int platformPort) {
-    this.options = options;
-    for (int i = 0; i < Math.min(MAX_EVENT_LOOPS, options.nodes()); i++) {
-      loops.add(Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(WORKERS)));
+    for (int i = 0; i < options.domains() * GROUPS_PER_DOMAIN; i++) {
+      groups.add(new Group());
     }
     for (int i = 0; i < options.nodes(); i++) {
-      Member self = member(options, i, 0);
-      NodeProcess node =
-          new NodeProcess(
-              loops.get(i % loops.size()),
-              SettingsLoader.parse(
-                  settings(options, self, platformPort).encode(), NodeSettings.ALL),
-              TimeSource.system(),
-              members.viewOf(self));
-      AtomicReference<ConfigVersion> last = new AtomicReference<>(ConfigVersion.NONE);
-      node.snapshots().addListener(snapshot -> onSnapshot(last, snapshot));
-      nodes.add(node);
+      // Hosts of group g and of group g + domains lie in the domain g.
+      Group group = groups.get(i % groups.size());
+      Host host = new Host(options, i, group.loop, platformPort, watch);
+      group.hosts.add(host);
+      hosts.add(host);
     }
   }
 
-  private static Member member(ConvergeOptions options, int index, int peerPort) {
-    return new Member(
-        "host-" + index,
-        1,
-        IP,
-        peerPort,
-        0,
-        options.domainOf(index),
-        "default",
-        options.serviceOf(index),
-        "v1",
-        1,
-        MemberState.ALIVE);
-  }
-
-  private static JsonObject settings(ConvergeOptions options, Member self, int platformPort) {
-    return new JsonObject()
-        .put("host_id", self.hostId())
-        .put("service", self.service())
-        .put("failure_domain", self.failureDomain())
-        .put("ip", IP)
-        .put("outbound_port", 0)
-        .put("inbound_port", 0)
-        .put("peer_port", 0)
-        .put("admin_port", 0)
-        .put("seeds", new JsonArray())
-        .put("platform", IP + ":" + platformPort)
-        .put("distribution", options.distribution());
-  }
-
-  private void onSnapshot(AtomicReference<ConfigVersion> last, Snapshot snapshot) {
-    ConfigVersion before = last.getAndSet(snapshot.version());
-    watch.check(before, snapshot);
-    Wave current = wave;
-    if (before.sequence() < current.sequence()
-        && snapshot.version().sequence() >= current.sequence()) {
-      current.missing().countDown();
-    }
+  private static Vertx newLoop() {
+    return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(WORKERS));
   }
 
-  /** Starts the nodes; each is known to the others once its port is. */
+  /** Starts the seeds, then all other nodes together. */
   void start() {
-    for (int i = 0; i < nodes.size(); i++) {
-      nodes.get(i).start().await().indefinitely();
-      members.add(member(options, i, nodes.get(i).peerAddress().port()));
-    }
+    List<Host> first = hosts.subList(0, Math.min(SEEDS, hosts.size()));
+    startAll(first);
+    List<Host> rest = hosts.subList(first.size(), hosts.size());
+    groups.forEach(
+        group ->
+            group.hosts.stream()
+                .filter(rest::contains)
+                .forEach(host -> host.replaceNode(group.loop, seeds())));
+    startAll(rest);
+  }
+
+  private List<String> seeds() {
+    return hosts.stream().limit(SEEDS).map(Host::peerAddress).toList();
+  }
+
+  private static void startAll(List<Host> hosts) {
+    joinAll(hosts.stream().map(Host::start).toList());
+  }
+
+  private static void joinAll(List<CompletableFuture<Void>> futures) {
+    CompletableFuture.allOf(futures.toArray(CompletableFuture[]::new)).join();
   }
 
   void stop() {
-    nodes.forEach(node -> node.stop().await().indefinitely());
-    loops.forEach(loop -> loop.close().toCompletionStage().toCompletableFuture().join());
+    joinAll(hosts.stream().map(Host::stop).toList());
+    groups.forEach(group -> group.loop.close().toCompletionStage().toCompletableFuture().join());
   }
 
-  /** Expects the next edit to have a sequence; must be called before that edit is published. */
-  void expect(long sequence) {
-    wave = new Wave(sequence, new CountDownLatch(nodes.size()));
+  /** Crashes all nodes of a domain at once and starts them again together. */
+  void restartDomain(int domain, int domains) {
+    restart(List.of(groups.get(domain), groups.get(domain + domains)));
   }
 
-  /** Waits until all nodes have the expected edit in force; returns how many lack it in the end. */
-  long await(long timeoutMs) throws InterruptedException {
-    wave.missing().await(timeoutMs, TimeUnit.MILLISECONDS);
-    return wave.missing().getCount();
+  /** Crashes half of the nodes of a domain at once and starts them again together. */
+  List<Host> restartHalfOfDomain(int domain) {
+    restart(List.of(groups.get(domain)));
+    return groups.get(domain).hosts;
+  }
+
+  /** Crashes all nodes at once and starts them again together. */
+  void restartAll() {
+    restart(groups);
+  }
+
+  private void restart(List<Group> affected) {
+    joinAll(
+        affected.stream()
+            .map(group -> group.loop.close().toCompletionStage().toCompletableFuture())
+            .toList());
+    List<String> seeds = seeds();
+    List<Host> restarted = new ArrayList<>();
+    for (Group group : affected) {
+      group.loop = newLoop();
+      group.hosts.forEach(host -> host.replaceNode(group.loop, seeds));
+      restarted.addAll(group.hosts);
+    }
+    startAll(restarted);
+  }
+
+  /**
+   * Waits until each node knows the processes that run now on all hosts; returns how many do not in
+   * the end.
+   */
+  long awaitJoined(long timeoutMs) throws InterruptedException {
+    Map<String, Long> incarnations =
+        hosts.stream().collect(Collectors.toMap(Host::hostId, Host::incarnation));
+    return await(hosts, host -> host.knows(incarnations), timeoutMs);
+  }
+
+  /** Waits until all nodes have an edit in force; returns how many lack it in the end. */
+  long awaitSequence(long sequence, long timeoutMs) throws InterruptedException {
+    return await(hosts, host -> host.sequence() >= sequence, timeoutMs);
+  }
+
+  /** Waits until some hosts meet a condition; returns how many do not in the end. */
+  static long await(List<Host> hosts, Predicate<Host> condition, long timeoutMs)
+      throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    List<Host> missing = new ArrayList<>(hosts);
+    while (true) {
+      missing.removeIf(condition);
+      if (missing.isEmpty() || System.nanoTime() > endNanos) {
+        return missing.size();
+      }
+      Thread.sleep(CHECK_INTERVAL_MS);
+    }
   }
 
-  /** Returns the bytes that the nodes exchanged among themselves, each counted at its sender. */
-  long peerBytes() {
-    return nodes.stream().mapToLong(node -> node.transportCounters().sentBytes()).sum();
+  /** Returns the sum of a counter over all hosts. */
+  long sum(ToLongFunction<Host> counter) {
+    return hosts.stream().mapToLong(counter).sum();
   }
 
-  /** Returns the bytes that the nodes exchanged with the platform, in both directions. */
-  long platformBytes() {
-    return nodes.stream()
-        .map(NodeProcess::platformCounters)
-        .mapToLong(counters -> counters.sentBytes() + counters.receivedBytes())
-        .sum();
+  List<Host> hosts() {
+    return hosts;
   }
 
   InvariantWatch watch() {
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/InvariantWatch.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/InvariantWatch.java
@@ -28,6 +28,13 @@
     snapshot.services().values().forEach(this::checkVersions);
   }
 
+  /** Checks that a node does not go below a version that its host had before a restart. */
+  void checkFloor(ConfigVersion floor, Snapshot snapshot) {
+    if (floor.isAfter(snapshot.version())) {
+      regressed.increment();
+    }
+  }
+
   private void checkVersions(ServiceConfig service) {
     Set<String> versions = new HashSet<>();
     service.versions().forEach(version -> versions.add(version.name()));
--- a/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/NodeProcess.java
@@ -13,16 +13,13 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.config.snapshot.Snapshot;
 import org.acaciapond.config.snapshot.SnapshotHolder;
-import org.acaciapond.membership.GossipStore;
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MemberState;
-import org.acaciapond.membership.MembershipView;
 import org.acaciapond.membership.NodeAddress;
 import org.acaciapond.node.admin.AdminServer;
 import org.acaciapond.node.distribution.DistributionService;
 import org.acaciapond.node.distribution.DistributionSettings;
 import org.acaciapond.node.distribution.HeadPoller;
-import org.acaciapond.node.distribution.LocalGossipStore;
 import org.acaciapond.node.membership.LocalTarget;
 import org.acaciapond.node.membership.MembershipService;
 import org.acaciapond.node.membership.MembershipSettingDescriptors;
@@ -52,7 +49,6 @@
 import org.acaciapond.protocol.transport.PeerTransport;
 import org.acaciapond.protocol.transport.TransportCounters;
 import org.acaciapond.routing.call.CallListener;
-import org.jspecify.annotations.Nullable;
 
 /** Assembly of the services of one node. */
 public final class NodeProcess implements ManagedService {
@@ -79,19 +75,6 @@
 
   /** Creates a node that finds other nodes by its seeds. */
   public NodeProcess(Vertx vertx, Settings settings, TimeSource time) {
-    this(vertx, settings, time, null);
-  }
-
-  /**
-   * Creates a node.
-   *
-   * @param vertx event loops to use
-   * @param settings settings of the node
-   * @param time clock
-   * @param fixedMembers members of the mesh when they are given rather than found, or null
-   */
-  public NodeProcess(
-      Vertx vertx, Settings settings, TimeSource time, @Nullable MembershipView fixedMembers) {
     this.settings = settings;
     this.time = time;
     this.holder = new SnapshotHolder(Snapshot.empty(settings.get(NodeSettings.SERVICE)));
@@ -99,10 +82,7 @@
     this.platform = newPlatformClient(vertx);
     RequestPathOptions requestPath = RequestPathOptions.of(settings);
     this.membership = newMembership(vertx, requestPath.drainDelayMs());
-    this.distribution =
-        fixedMembers == null
-            ? newDistribution(vertx, membership, membership)
-            : newDistribution(vertx, fixedMembers, new LocalGossipStore());
+    this.distribution = newDistribution(vertx);
     this.rollouts = newRollouts(vertx);
     HopTracer tracer = newTracer(settings.get(TelemetrySettings.TRACES_PER_MILLION));
     this.outbound = newOutbound(vertx, requestPath, tracer);
@@ -115,9 +95,7 @@
     // Stopped in reverse order: the own target may call others until its last call has ended.
     this.base = new OrderedServices(List.of(transport, outbound, inbound, admin));
     ManagedService source = polls() ? newHeadPoller(vertx) : distribution;
-    this.control =
-        new OrderedServices(
-            fixedMembers == null ? List.of(membership, source, rollouts) : List.of(source));
+    this.control = new OrderedServices(List.of(membership, source, rollouts));
   }
 
   private PeerTransport newTransport(Vertx vertx) {
@@ -153,15 +131,14 @@
         drainDelayMs);
   }
 
-  private DistributionService newDistribution(
-      Vertx vertx, MembershipView members, GossipStore gossip) {
+  private DistributionService newDistribution(Vertx vertx) {
     return new DistributionService(
         vertx,
         time,
         newRandom(),
         transport,
-        members,
-        gossip,
+        membership,
+        membership,
         platform,
         holder,
         settings.get(NodeSettings.SERVICE),
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/PeerLinks.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/PeerLinks.java
@@ -2,9 +2,11 @@
 
 import io.vertx.core.Context;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.acaciapond.membership.MembershipPacket;
@@ -26,6 +28,13 @@
   private static final int MAX_WAITING = 64;
   private static final int MAX_LINKS = 4_096;
 
+  /**
+   * Connections that this node keeps open itself. Gossip picks receivers at random, so that without
+   * a bound each change makes every node connect to most others: 160 nodes used up 20,000 file
+   * descriptors. A link is closed only after 31 other receivers have been written to since.
+   */
+  private static final int MAX_OPENED = 32;
+
   private final Context context;
   private final PeerTransport transport;
   private final RandomGenerator random;
@@ -113,6 +122,7 @@
     link.backoff.reset();
     link.opened = true;
     attach(to, link, connection);
+    closeLeastRecentlyUsed();
     link.waiting.forEach(packet -> connection.send(new MembershipMessage(packet)));
     link.waiting.clear();
   }
@@ -145,6 +155,31 @@
     }
   }
 
+  private void closeLeastRecentlyUsed() {
+    List<Map.Entry<NodeAddress, Link>> open =
+        links.entrySet().stream()
+            .filter(entry -> entry.getValue().opened && entry.getValue().connection != null)
+            .toList();
+    if (open.size() <= MAX_OPENED) {
+      return;
+    }
+    open.stream()
+        .min(Comparator.comparingLong(entry -> entry.getValue().usedAtMs))
+        .ifPresent(
+            oldest -> {
+              links.remove(oldest.getKey());
+              close(oldest.getValue());
+            });
+  }
+
+  private static void close(Link link) {
+    PeerConnection connection = link.connection;
+    link.connection = null;
+    if (connection != null && link.opened) {
+      connection.close();
+    }
+  }
+
   /** Closes connections opened here that were not used for a time. */
   void closeUnused(long nowMs) {
     Iterator<Link> iterator = links.values().iterator();
@@ -155,11 +190,7 @@
         continue;
       }
       iterator.remove();
-      PeerConnection connection = link.connection;
-      link.connection = null;
-      if (connection != null && link.opened) {
-        connection.close();
-      }
+      close(link);
     }
   }
 
--- /dev/null
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/MessageFamily.java
@@ -0,0 +1,29 @@
+package org.acaciapond.protocol.transport;
+
+import org.acaciapond.protocol.message.EvidenceMessage;
+import org.acaciapond.protocol.message.LivenessMessage;
+import org.acaciapond.protocol.message.MembershipMessage;
+import org.acaciapond.protocol.message.Message;
+
+/** Kinds of traffic between nodes that are counted apart. */
+public enum MessageFamily {
+  /** Probes, gossip and anti-entropy. */
+  MEMBERSHIP,
+  /** Subscriptions, updates, and the version floor. */
+  DISTRIBUTION,
+  /** Summaries of call outcomes for rollouts. */
+  EVIDENCE,
+  /** Liveness checks of connections. */
+  LIVENESS;
+
+  /** Returns the family of a message. */
+  static MessageFamily of(Message message) {
+    if (message instanceof MembershipMessage) {
+      return MEMBERSHIP;
+    }
+    if (message instanceof LivenessMessage) {
+      return LIVENESS;
+    }
+    return message instanceof EvidenceMessage ? EVIDENCE : DISTRIBUTION;
+  }
+}
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/SocketPeerConnection.java
@@ -193,7 +193,7 @@
       drop(ProtocolErrorCode.PEER_SLOW, pendingBytes.get() + " bytes wait to be written");
       return;
     }
-    counters.addSentBytes(bytes);
+    counters.addSentBytes(MessageFamily.of(message), bytes);
     socket
         .write(Buffer.buffer(bytes).appendInt(payload.length).appendBytes(payload))
         .onComplete(written -> pendingBytes.addAndGet(-bytes));
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/TransportCounters.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/TransportCounters.java
@@ -1,17 +1,25 @@
 package org.acaciapond.protocol.transport;
 
+import java.util.Arrays;
 import java.util.concurrent.atomic.LongAdder;
 
 /** Counters of the traffic between this node and others. */
 public final class TransportCounters {
 
-  private final LongAdder sentBytes = new LongAdder();
+  /** Bytes by the ordinal of the family. */
+  private final LongAdder[] sentBytes = new LongAdder[MessageFamily.values().length];
+
   private final LongAdder receivedBytes = new LongAdder();
   private final LongAdder silentConnections = new LongAdder();
   private final LongAdder slowPeers = new LongAdder();
   private final LongAdder idleConnections = new LongAdder();
   private final LongAdder malformedFrames = new LongAdder();
 
+  /** Creates counters at zero. */
+  TransportCounters() {
+    Arrays.setAll(sentBytes, index -> new LongAdder());
+  }
+
   void addSilentConnection() {
     silentConnections.increment();
   }
@@ -24,8 +32,8 @@
     idleConnections.increment();
   }
 
-  void addSentBytes(long count) {
-    sentBytes.add(count);
+  void addSentBytes(MessageFamily family, long count) {
+    sentBytes[family.ordinal()].add(count);
   }
 
   void addReceivedBytes(long count) {
@@ -38,7 +46,12 @@
 
   /** Returns the bytes sent, with framing. */
   public long sentBytes() {
-    return sentBytes.sum();
+    return Arrays.stream(sentBytes).mapToLong(LongAdder::sum).sum();
+  }
+
+  /** Returns the bytes sent in messages of one family, with framing. */
+  public long sentBytes(MessageFamily family) {
+    return sentBytes[family.ordinal()].sum();
   }
 
   /** Returns the bytes received, with framing. */
