--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/ConvergeCommand.java
@@ -26,8 +26,8 @@
   private static final int EXIT_BAD_INPUT = 2;
   private static final long JOIN_TIMEOUT_MS = 120_000;
 
-  /** Time in which the first gossip after the start ends. */
-  private static final long SETTLE_MS = 15_000;
+  /** Nodes pass on the updates of the start for up to 30 s; 15 s counted them as steady traffic. */
+  private static final long SETTLE_MS = 35_000;
 
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Edits.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Edits.java
@@ -29,7 +29,7 @@
   /** Returns the nanoseconds from the call to publish, just before acceptance, to the last node. */
   long publishAndAwait() throws InterruptedException {
     String text = SyntheticConfig.text(services, published + 1);
-    long startNanos = System.nanoTime();
+    final long startNanos = System.nanoTime();
     PublishResult result = publisher.publish(text, "bench").await().indefinitely();
     if (result.outcome() != PublishResult.Outcome.ACCEPTED) {
       throw new IllegalStateException("edit " + (published + 1) + " was " + result.outcome());
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/PeakSampler.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/PeakSampler.java
@@ -48,7 +48,7 @@
   private synchronized void sample() {
     long nowNanos = System.nanoTime();
     double seconds = (nowNanos - lastNanos) / NANOS_PER_SECOND;
-    Peaks last =
+    final Peaks last =
         new Peaks(
             (stats.reads() - reads) / seconds,
             (stats.writes() - writes) / seconds,
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Recovery.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/converge/Recovery.java
@@ -16,6 +16,8 @@
   private static final long JOIN_TIMEOUT_MS = 120_000;
   private static final long OUTAGE_MS = 10_000;
   private static final long RESTART_AFTER_MS = 2_000;
+  private static final int LATER_EDITS = 3;
+  private static final long LATER_EDIT_INTERVAL_MS = 2_000;
 
   private final ConvergeOptions options;
   private final PlatformServer platform;
@@ -89,6 +91,12 @@
     Thread.sleep(Math.max(0, leftMs));
     setPlatformMode("none");
     result.put("edit_after_outage_ms", edits.publishAndAwait() / NANOS_PER_MILLI);
+    double slowestMs = 0;
+    for (int i = 0; i < LATER_EDITS; i++) {
+      Thread.sleep(LATER_EDIT_INTERVAL_MS);
+      slowestMs = Math.max(slowestMs, edits.publishAndAwait() / NANOS_PER_MILLI);
+    }
+    result.put("slowest_later_edit_ms", slowestMs);
   }
 
   private void setPlatformMode(String mode) throws InterruptedException, IOException {
