--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/ProxiedCall.java
@@ -172,6 +172,9 @@
     if (answer.succeeded()) {
       onAnswer(answer.result());
     } else {
+      // The stream is over. Resetting it while its connection fails makes Vert.x fail the next
+      // stream in the same call chain, which overflows the stack with many calls in flight.
+      outgoing = null;
       onLost(true);
     }
   }
