Recount the holders of a version when an old subscription ends

Cause: a keeper that catches up at a sibling which is also the poller subscribes there a second time when invited. When the first connection ended after the second had subscribed, the poller forgot that the keeper holds the version, and with fewer than two other holders it did not put the version in force until the next edit (I10). Seen by FailureTest GROUP_CRASHES: back-north, poller, held 32 and had 24 in force for 30 s, while both other keepers had 32 in force and were subscribed.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
@@ -95,10 +95,21 @@
   void remove(PeerConnection connection) {
     Subscriber gone = byConnection.remove(connection);
     if (gone != null && gone.wantsWhole()) {
-      tally(gone.request.domain()).remove(gone.request.hostId());
+      recount(gone.request.domain(), gone.request.hostId());
     }
   }
 
+  /**
+   * Counts only what the open subscriptions of a keeper acknowledged. The end of an old connection
+   * may be noticed after the keeper has subscribed on a new one.
+   */
+  private void recount(String domain, String hostId) {
+    tally(domain).remove(hostId);
+    byConnection.values().stream()
+        .filter(left -> left.wantsWhole() && left.request.hostId().equals(hostId))
+        .forEach(left -> tally(domain).record(hostId, left.acknowledged));
+  }
+
   /** Sends each subscriber what it lacks. */
   void pushAll() {
     byConnection.forEach(this::push);
