Start the nodes of the calls experiment by its launcher

The rule that no process starts another failed on the experiment, which started nodes itself. The shell launcher now starts and ends them; the layer test is unchanged.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/AddedLatency.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/AddedLatency.java
@@ -39,15 +39,15 @@
   }
 
   /** Measures for a number of seconds each way. */
-  static JsonObject measure(int seconds, int rate) throws Exception {
+  static JsonObject measure(RunningMesh mesh, int seconds, int rate) throws Exception {
     Vertx vertx = Vertx.vertx();
-    try (MeshProcesses mesh = new MeshProcesses()) {
+    try {
       System.err.println("resident size of the nodes when idle: " + mesh.residentSizes());
       AddedLatency direct =
-          new AddedLatency(new LoadClient(vertx, mesh.targetPort, "direct"), "direct");
+          new AddedLatency(new LoadClient(vertx, mesh.targetPort(), "direct"), "direct");
       AddedLatency proxied =
           new AddedLatency(
-              new LoadClient(vertx, mesh.callerOutboundPort, MeshProcesses.SERVICE), "proxied");
+              new LoadClient(vertx, mesh.outboundPort(), RunningMesh.SERVICE), "proxied");
       alternate(direct, proxied, WARM_UP_S, rate);
       direct.recording = true;
       proxied.recording = true;
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/CallsCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/CallsCommand.java
@@ -22,10 +22,18 @@
         parser.accepts("seconds").withRequiredArg().ofType(Integer.class).defaultsTo(10);
     final OptionSpec<Integer> rate =
         parser.accepts("rate").withRequiredArg().ofType(Integer.class).defaultsTo(1_000);
-    OptionSpec<Integer> targetPort =
+    final OptionSpec<Integer> targetPort =
         parser.accepts("serve-target").withRequiredArg().ofType(Integer.class);
     final OptionSpec<String> scenario = parser.accepts("scenario").withRequiredArg();
     parser.accepts("json");
+    final OptionSpec<Integer> outbound = port(parser, "outbound-port");
+    final OptionSpec<Integer> target = port(parser, "target-port");
+    final OptionSpec<Integer> nodePids =
+        parser
+            .accepts("node-pids")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .withValuesSeparatedBy(',');
     OptionSet options;
     try {
       options = parser.parse(args);
@@ -36,10 +44,18 @@
     if (options.has(targetPort)) {
       return EchoTarget.serve(options.valueOf(targetPort));
     }
+    if (!options.has(scenario) && !(options.has(outbound) && options.has(target))) {
+      System.err.println("the mesh is not running; start this by bin/acaciapond-bench");
+      return EXIT_BAD_INPUT;
+    }
     JsonObject result =
         options.has(scenario)
             ? runScenario(options.valueOf(scenario), options.valueOf(seconds))
-            : AddedLatency.measure(options.valueOf(seconds), options.valueOf(rate));
+            : AddedLatency.measure(
+                new RunningMesh(
+                    options.valueOf(outbound), options.valueOf(target), options.valuesOf(nodePids)),
+                options.valueOf(seconds),
+                options.valueOf(rate));
     if (result == null) {
       System.err.println("unknown scenario; one of overload, chain, silent");
       return EXIT_BAD_INPUT;
@@ -48,6 +64,10 @@
     return 0;
   }
 
+  private static OptionSpec<Integer> port(OptionParser parser, String name) {
+    return parser.accepts(name, "given by the launcher").withRequiredArg().ofType(Integer.class);
+  }
+
   private static @Nullable JsonObject runScenario(String name, int seconds) throws Exception {
     Vertx vertx = Vertx.vertx();
     try {
