Push versions from other domains at once and call full copies replicas

Nodes that hold the whole configuration are now called replicas in code and documents, the usual term.

--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/election/DomainRoles.java
@@ -10,21 +10,21 @@
  * Roles that the members of a failure domain have.
  *
  * @param relays hosts that leaves subscribe to
- * @param keepers hosts that hold the whole configuration: the relays, and at least four
+ * @param replicas hosts that hold the whole configuration: the relays, and at least four
  * @param pollerCandidates hosts that may take the poller lease, in order of rank
  */
 public record DomainRoles(
-    List<String> relays, List<String> keepers, List<String> pollerCandidates) {
+    List<String> relays, List<String> replicas, List<String> pollerCandidates) {
 
   private static final int MEMBERS_PER_RELAY = 32;
   private static final int MIN_RELAYS = 2;
 
   /**
-   * Least number of keepers: a keeper activates a version that two others hold, so that with four
+   * Least number of replicas: a replica activates a version that two others hold, so that with four
    * the crash of one holds up no version until the members drop it. A starting node hears all
-   * keepers but one, so it always hears one that holds the version.
+   * replicas but one, so it always hears one that holds the version.
    */
-  private static final int MIN_KEEPERS = 4;
+  private static final int MIN_REPLICAS = 4;
 
   private static final int POLLER_CANDIDATES = 4;
   private static final long MIN_ATTEMPT_DELAY_MS = 500;
@@ -38,7 +38,7 @@
     int relayCount = relayCount(byRelayRank.size());
     return new DomainRoles(
         first(byRelayRank, relayCount),
-        first(byRelayRank, Math.max(relayCount, MIN_KEEPERS)),
+        first(byRelayRank, Math.max(relayCount, MIN_REPLICAS)),
         first(byPollerRank, POLLER_CANDIDATES));
   }
 
--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.acaciapond.config.version.ConfigVersion;
 
-/** Highest version that each keeper of one domain is known to hold, and the rule built on it. */
+/** Highest version that each replica of one domain is known to hold, and the rule built on it. */
 public final class HolderTally {
 
   /** Other holders that a version needs before it is put in force. */
@@ -34,13 +34,13 @@
   /**
    * Returns whether a poller or relay may put a version in force.
    *
-   * <p>Only keepers count, because only they are asked for the floor: a poller that is not a keeper
-   * would be missed by a keeper that restarts.
+   * <p>Only replicas count, because only they are asked for the floor: a poller that is not a replica
+   * would be missed by a replica that restarts.
    *
-   * @param otherHolders other keepers of its domain that hold the version
-   * @param otherKeepers other keepers of its domain
+   * @param otherHolders other replicas of its domain that hold the version
+   * @param otherReplicas other replicas of its domain
    */
-  public static boolean mayActivate(int otherHolders, int otherKeepers) {
-    return otherHolders >= Math.min(REQUIRED_HOLDERS, otherKeepers);
+  public static boolean mayActivate(int otherHolders, int otherReplicas) {
+    return otherHolders >= Math.min(REQUIRED_HOLDERS, otherReplicas);
   }
 }
--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/StartFloor.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/StartFloor.java
@@ -14,13 +14,13 @@
   private Set<String> asked = Set.of();
   private Optional<ConfigVersion> decided = Optional.empty();
 
-  /** Names the keepers of the domain without this node; those asked before may be among them. */
-  public void setKeepers(Collection<String> hostIds) {
+  /** Names the replicas of the domain without this node; those asked before may be among them. */
+  public void setReplicas(Collection<String> hostIds) {
     asked = Set.copyOf(hostIds);
     decide();
   }
 
-  /** Records the highest version that a keeper holds. */
+  /** Records the highest version that a replica holds. */
   public void onAnswer(String hostId, ConfigVersion held) {
     answers.put(hostId, held);
     decide();
@@ -33,7 +33,7 @@
     }
   }
 
-  /** All keepers but one must answer, and at least one, so that silence does not make a floor. */
+  /** All replicas but one must answer, and at least one, so that silence does not make a floor. */
   private void decide() {
     int needed = Math.max(1, asked.size() - 1);
     long answered = asked.stream().filter(answers::containsKey).count();
--- a/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionSimulation.java
+++ b/acaciapond-distribution/src/test/java/org/acaciapond/distribution/DistributionSimulation.java
@@ -25,27 +25,27 @@
 import org.acaciapond.distribution.update.SubscriptionFeed;
 import org.acaciapond.distribution.update.UpdateReceiver;
 
-/** One domain in memory: pollers, keepers and leaves joined by an unreliable network. */
+/** One domain in memory: pollers, replicas and leaves joined by an unreliable network. */
 final class DistributionSimulation {
 
   private static final int POLLERS = 2;
-  private static final int MIN_KEEPERS = 3;
+  private static final int MIN_REPLICAS = 3;
   private static final int LEAVES = 4;
   private static final int SERVICES = 5;
 
-  /** Keeper or leaf. */
+  /** Replica or leaf. */
   private final class Node {
     private final String name;
-    private final boolean keeper;
+    private final boolean replica;
     private final Map<Node, SubscriptionFeed> feeds = new HashMap<>();
     private UpdateReceiver<?> receiver;
     private ConfigVersion highestActive = ConfigVersion.NONE;
     private MeshState active = MeshState.empty();
     private boolean settled = true;
 
-    private Node(String name, boolean keeper) {
+    private Node(String name, boolean replica) {
       this.name = name;
-      this.keeper = keeper;
+      this.replica = replica;
       this.receiver = newReceiver();
     }
 
@@ -54,7 +54,7 @@
     }
 
     private UpdateReceiver<?> newReceiver() {
-      if (!keeper) {
+      if (!replica) {
         return new UpdateReceiver<>(
             Snapshot.empty(service()),
             (version, content) ->
@@ -67,22 +67,22 @@
           (version, content) -> previous[0] = MeshState.of(version, content, previous[0]));
     }
 
-    /** Loses all state; takes a floor from all other keepers but one. */
+    /** Loses all state; takes a floor from all other replicas but one. */
     private void restart() {
       receiver = newReceiver();
       active = MeshState.empty();
       feeds.clear();
       settled = false;
       StartFloor floor = new StartFloor();
-      List<Node> others = keepers.stream().filter(node -> node != this).toList();
-      floor.setKeepers(others.stream().map(node -> node.name).toList());
+      List<Node> others = replicas.stream().filter(node -> node != this).toList();
+      floor.setReplicas(others.stream().map(node -> node.name).toList());
       Node silent = others.get(random.nextInt(others.size()));
       for (Node other : others) {
         if (other != silent && other.settled) {
           floor.onAnswer(other.name, other.receiver.version());
         }
       }
-      // A node that hears too few keepers takes the head of the platform instead.
+      // A node that hears too few replicas takes the head of the platform instead.
       receiver.raiseFloor(floor.floor().orElseGet(() -> accepted.get(head).version()));
       settled = receiver.version().compareTo(floorOrHead(floor)) >= 0;
     }
@@ -98,7 +98,7 @@
       } else if (decision == UpdateReceiver.Decision.ACCEPTED) {
         settled = true;
         checkContent();
-        if (!keeper) {
+        if (!replica) {
           activate(receiver.version());
         }
       }
@@ -106,7 +106,7 @@
 
     private void checkContent() {
       MeshState truth = accepted.get((int) receiver.version().sequence());
-      ScopedContent expected = keeper ? truth.whole() : truth.contentFor(service());
+      ScopedContent expected = replica ? truth.whole() : truth.contentFor(service());
       assertEquals(truth.version(), receiver.version(), context());
       assertEquals(expected.digest(), receiver.content().digest(), "I3 " + context());
       if (receiver.state() instanceof Snapshot snapshot) {
@@ -126,7 +126,7 @@
       if (settled
           && version.equals(receiver.version())
           && receiver.state() instanceof MeshState state
-          && HolderTally.mayActivate(otherHolders, keeperCount - 1)
+          && HolderTally.mayActivate(otherHolders, replicaCount - 1)
           && version.isAfter(active.version())) {
         active = state;
         activate(version);
@@ -171,26 +171,26 @@
       if (!paused) {
         known = accepted.get(head);
       }
-      for (Node keeper : keepers) {
+      for (Node replica : replicas) {
         feeds
-            .computeIfAbsent(keeper, node -> new SubscriptionFeed(MeshState::whole, NONE, ""))
+            .computeIfAbsent(replica, node -> new SubscriptionFeed(MeshState::whole, NONE, ""))
             .advance(known)
-            .ifPresent(update -> sendUpdate(keeper, update));
-        ConfigVersion version = keeper.receiver.version();
-        send(() -> acks.put(keeper, version));
+            .ifPresent(update -> sendUpdate(replica, update));
+        ConfigVersion version = replica.receiver.version();
+        send(() -> acks.put(replica, version));
         int others =
             (int)
                 acks.entrySet().stream()
-                    .filter(ack -> ack.getKey() != keeper)
+                    .filter(ack -> ack.getKey() != replica)
                     .filter(ack -> ack.getValue().compareTo(known.version()) >= 0)
                     .count();
         ConfigVersion held = known.version();
-        send(() -> keeper.onHolders(held, others));
+        send(() -> replica.onHolders(held, others));
       }
     }
 
-    private void sendUpdate(Node keeper, ConfigUpdate update) {
-      send(() -> keeper.onUpdate(damage(update), () -> feeds.remove(keeper)));
+    private void sendUpdate(Node replica, ConfigUpdate update) {
+      send(() -> replica.onUpdate(damage(update), () -> feeds.remove(replica)));
     }
 
     private void forget() {
@@ -202,10 +202,10 @@
 
   private final long seed;
   private final SplittableRandom random;
-  private final int keeperCount;
+  private final int replicaCount;
   private final List<MeshState> accepted = new ArrayList<>(List.of(MeshState.empty()));
   private final List<Runnable> network = new ArrayList<>();
-  private final List<Node> keepers = new ArrayList<>();
+  private final List<Node> replicas = new ArrayList<>();
   private final List<Node> leaves = new ArrayList<>();
   private final List<Poller> pollers = new ArrayList<>();
   private int head;
@@ -215,9 +215,9 @@
   DistributionSimulation(long seed) {
     this.seed = seed;
     this.random = new SplittableRandom(seed);
-    this.keeperCount = MIN_KEEPERS + random.nextInt(2);
-    for (int i = 0; i < keeperCount; i++) {
-      keepers.add(new Node("keeper-" + i, true));
+    this.replicaCount = MIN_REPLICAS + random.nextInt(2);
+    for (int i = 0; i < replicaCount; i++) {
+      replicas.add(new Node("replica-" + i, true));
     }
     for (int i = 0; i < LEAVES; i++) {
       leaves.add(new Node("leaf-" + i, false));
@@ -293,16 +293,16 @@
   }
 
   private void subscribe(Node leaf) {
-    Node keeper = keepers.get(random.nextInt(keeperCount));
+    Node replica = replicas.get(random.nextInt(replicaCount));
     ConfigVersion version = leaf.receiver.version();
     String digest = leaf.receiver.content().digest();
-    send(() -> keeper.subscribe(leaf, version, digest));
+    send(() -> replica.subscribe(leaf, version, digest));
   }
 
-  /** At most one keeper is down or behind its floor at a time, as the floor rule requires. */
-  private void restartKeeper() {
-    if (keepers.stream().allMatch(keeper -> keeper.settled)) {
-      keepers.get(random.nextInt(keeperCount)).restart();
+  /** At most one replica is down or behind its floor at a time, as the floor rule requires. */
+  private void restartReplica() {
+    if (replicas.stream().allMatch(replica -> replica.settled)) {
+      replicas.get(random.nextInt(replicaCount)).restart();
     }
   }
 
@@ -310,7 +310,7 @@
     List<Function<DistributionSimulation, Runnable>> rare =
         List.of(
             s -> s::edit,
-            s -> s::restartKeeper,
+            s -> s::restartReplica,
             s -> () -> s.leaves.get(s.random.nextInt(LEAVES)).restart(),
             s -> () -> s.pollers.get(s.random.nextInt(POLLERS)).forget(),
             s -> () -> s.subscribe(s.leaves.get(s.random.nextInt(LEAVES))));
@@ -344,8 +344,8 @@
         deliverOne();
       }
     }
-    for (Node keeper : keepers) {
-      assertEquals(head, keeper.active.version().sequence(), "I10 " + keeper.context());
+    for (Node replica : replicas) {
+      assertEquals(head, replica.active.version().sequence(), "I10 " + replica.context());
     }
     for (Node leaf : leaves) {
       assertEquals(head, leaf.receiver.version().sequence(), "I10 " + leaf.context());
--- a/acaciapond-distribution/src/test/java/org/acaciapond/distribution/election/DomainRolesTest.java
+++ b/acaciapond-distribution/src/test/java/org/acaciapond/distribution/election/DomainRolesTest.java
@@ -35,9 +35,9 @@
     Collections.shuffle(members, new Random(seed));
     assertEquals(roles, DomainRoles.of("d", members));
     assertEquals(Math.min(count, Math.max(2, (count + 31) / 32)), roles.relays().size());
-    assertEquals(Math.min(count, Math.max(4, (count + 31) / 32)), roles.keepers().size());
+    assertEquals(Math.min(count, Math.max(4, (count + 31) / 32)), roles.replicas().size());
     assertEquals(Math.min(count, 4), roles.pollerCandidates().size());
-    assertTrue(roles.keepers().containsAll(roles.relays()));
+    assertTrue(roles.replicas().containsAll(roles.relays()));
   }
 
   @Test
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ConfigStore.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ConfigStore.java
@@ -17,7 +17,7 @@
 /**
  * Versions that this node holds and has in force.
  *
- * <p>A keeper or poller holds the whole configuration before it puts it in force; a leaf puts its
+ * <p>A replica or poller holds the whole configuration before it puts it in force; a leaf puts its
  * scope in force as it arrives. Used on one event loop.
  */
 final class ConfigStore {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/DistributionService.java
@@ -33,7 +33,7 @@
   private static final long TICK_MS = 1_000;
   private static final long START_TICK_MS = 200;
 
-  /** Ten seconds; leaves read the platform by then if no keeper answers. */
+  /** Ten seconds; leaves read the platform by then if no replica answers. */
   private static final int REPORT_AFTER_START_TICKS = 50;
 
   private final Vertx vertx;
@@ -52,7 +52,7 @@
   private record Roles(
       FloorRole floor,
       PollerRole poller,
-      KeeperRole keeper,
+      ReplicaRole replica,
       LeafRole leaf,
       Subscribers subscribers) {}
 
@@ -108,13 +108,13 @@
         new Subscribers(
             context.self().failureDomain(),
             store,
-            domain -> context.roles(domain).keepers().size(),
+            domain -> context.roles(domain).replicas().size(),
             this::isPoller);
     roles =
         new Roles(
             new FloorRole(context, platform),
             new PollerRole(context, store, subscribers, platform, this::onLoop),
-            new KeeperRole(context, store),
+            new ReplicaRole(context, store),
             new LeafRole(context, store, gossip, ownService),
             subscribers);
     store.setOnActive(state -> subscribers.pushAll());
@@ -173,12 +173,14 @@
     DomainRoles domain = context.roles(self.failureDomain());
     current.poller().tick(domain);
     boolean poller = current.poller().isPoller();
-    boolean keeper = domain.keepers().contains(self.hostId());
-    current.keeper().tick(keeper && !poller);
-    current.leaf().tick(!poller && !keeper);
-    if (poller && keeper) {
+    boolean replica = domain.replicas().contains(self.hostId());
+    current.replica().tick(replica && !poller);
+    current.leaf().tick(!poller && !replica);
+    if (poller && replica) {
       current.subscribers().recordOwn(self.hostId(), store.held().version());
     }
+    // A poller may have received a version from another domain before it read the head itself.
+    current.subscribers().pushAll();
     current.subscribers().notifyAllHolders();
     current.subscribers().resendUnacknowledged();
     current.poller().activateIfHeld();
@@ -208,7 +210,7 @@
           Roles current = roles;
           if (current != null) {
             current.subscribers().remove(connection);
-            current.keeper().onClose(connection);
+            current.replica().onClose(connection);
           }
         });
   }
@@ -227,10 +229,10 @@
       answerFloor(current, connection);
     } else if (message instanceof InviteMessage) {
       if (current.floor().floor().isPresent()) {
-        current.keeper().onInvite(connection);
+        current.replica().onInvite(connection);
       }
     } else {
-      current.keeper().onMessage(connection, message);
+      current.replica().onMessage(connection, message);
     }
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/FloorRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/FloorRole.java
@@ -19,14 +19,14 @@
 final class FloorRole {
 
   /**
-   * Leaves give the keepers time before they read the platform, so that a domain that restarts as a
+   * Leaves give the replicas time before they read the platform, so that a domain that restarts as a
    * whole does not exceed the platform's read limit.
    */
   private static final long LEAF_PLATFORM_DELAY_MS = 3_000;
 
   private static final long LEAF_PLATFORM_JITTER_MS = 5_000;
-  private static final long KEEPER_PLATFORM_DELAY_MS = 300;
-  private static final long KEEPER_PLATFORM_JITTER_MS = 700;
+  private static final long REPLICA_PLATFORM_DELAY_MS = 300;
+  private static final long REPLICA_PLATFORM_JITTER_MS = 700;
 
   private final DistributionContext context;
   private final PlatformClient platform;
@@ -55,19 +55,19 @@
 
   void tick(DomainRoles roles) {
     Member self = context.self();
-    Set<String> others = new HashSet<>(roles.keepers());
+    Set<String> others = new HashSet<>(roles.replicas());
     others.remove(self.hostId());
-    floor.setKeepers(others);
+    floor.setReplicas(others);
     for (Member member : context.membership().domainMembers(self.failureDomain())) {
       if (others.contains(member.hostId()) && asking.add(member.hostId())) {
         ask(member);
       }
     }
     boolean central =
-        roles.keepers().contains(self.hostId()) || roles.pollerCandidates().contains(self.hostId());
+        roles.replicas().contains(self.hostId()) || roles.pollerCandidates().contains(self.hostId());
     readPlatform(
-        central ? KEEPER_PLATFORM_DELAY_MS : LEAF_PLATFORM_DELAY_MS,
-        central ? KEEPER_PLATFORM_JITTER_MS : LEAF_PLATFORM_JITTER_MS);
+        central ? REPLICA_PLATFORM_DELAY_MS : LEAF_PLATFORM_DELAY_MS,
+        central ? REPLICA_PLATFORM_JITTER_MS : LEAF_PLATFORM_JITTER_MS);
   }
 
   private void ask(Member member) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/PollerRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/PollerRole.java
@@ -33,8 +33,8 @@
   private static final Logger LOG = LogManager.getLogger(PollerRole.class);
   private static final Duration LEASE_TIME = Duration.ofSeconds(3);
 
-  /** Receiver of the messages that keepers send to the poller. */
-  interface KeeperMessages {
+  /** Receiver of the messages that replicas send to the poller. */
+  interface ReplicaMessages {
     void accept(PeerConnection connection, Message message);
   }
 
@@ -43,9 +43,9 @@
   private final Subscribers subscribers;
   private final PlatformClient platform;
   private final ConfigFetcher fetcher;
-  private final KeeperMessages messages;
+  private final ReplicaMessages messages;
   private final LeaseClient lease;
-  private final Map<String, PeerConnection> keepers = new HashMap<>();
+  private final Map<String, PeerConnection> replicas = new HashMap<>();
   private final Set<String> connecting = new HashSet<>();
   private boolean leaseBusy;
   private boolean reading;
@@ -58,7 +58,7 @@
       ConfigStore store,
       Subscribers subscribers,
       PlatformClient platform,
-      KeeperMessages messages) {
+      ReplicaMessages messages) {
     this.context = context;
     this.store = store;
     this.subscribers = subscribers;
@@ -77,7 +77,7 @@
     return lease.held().isPresent();
   }
 
-  /** Renews or tries to take the lease, and invites the keepers. */
+  /** Renews or tries to take the lease, and invites the replicas. */
   void tick(DomainRoles roles) {
     String self = context.self().hostId();
     boolean poller = isPoller();
@@ -87,7 +87,7 @@
           "Poller lease of {} is {}", context.self().failureDomain(), poller ? "held" : "gone");
     }
     if (poller) {
-      inviteKeepers(roles, self);
+      inviteReplicas(roles, self);
       renew();
     } else {
       closeAll();
@@ -119,19 +119,19 @@
     context.run(() -> leaseBusy = false);
   }
 
-  private void inviteKeepers(DomainRoles roles, String self) {
-    keepers.forEach(
+  private void inviteReplicas(DomainRoles roles, String self) {
+    replicas.forEach(
         (id, connection) -> {
-          if (!roles.keepers().contains(id)) {
+          if (!roles.replicas().contains(id)) {
             connection.close();
           }
         });
     for (Member member : context.membership().domainMembers(context.self().failureDomain())) {
       String id = member.hostId();
-      if (!roles.keepers().contains(id) || id.equals(self)) {
+      if (!roles.replicas().contains(id) || id.equals(self)) {
         continue;
       }
-      PeerConnection connection = keepers.get(id);
+      PeerConnection connection = replicas.get(id);
       if (connection != null) {
         connection.send(new InviteMessage(self, member.failureDomain()));
       } else if (connecting.add(id)) {
@@ -142,21 +142,21 @@
 
   private void onOpen(String id, PeerConnection opened) {
     connecting.remove(id);
-    keepers.put(id, opened);
+    replicas.put(id, opened);
     Member self = context.self();
     opened.send(new InviteMessage(self.hostId(), self.failureDomain()));
   }
 
   private void onEnd(String id) {
     connecting.remove(id);
-    PeerConnection gone = keepers.remove(id);
+    PeerConnection gone = replicas.remove(id);
     if (gone != null) {
       subscribers.remove(gone);
     }
   }
 
   private void closeAll() {
-    keepers.values().forEach(PeerConnection::close);
+    replicas.values().forEach(PeerConnection::close);
   }
 
   /** Reads the head if this node holds the lease. */
@@ -227,7 +227,7 @@
     reading = false;
     store.hold(state);
     Member self = context.self();
-    if (context.roles(self.failureDomain()).keepers().contains(self.hostId())) {
+    if (context.roles(self.failureDomain()).replicas().contains(self.hostId())) {
       subscribers.recordOwn(self.hostId(), state.version());
     }
     subscribers.pushAll();
@@ -249,13 +249,13 @@
     LOG.debug("Cannot read the platform", error);
   }
 
-  /** Puts the held version in force once enough keepers hold it. */
+  /** Puts the held version in force once enough replicas hold it. */
   void activateIfHeld() {
     if (!isPoller()) {
       return;
     }
     Member self = context.self();
-    Set<String> others = new HashSet<>(context.roles(self.failureDomain()).keepers());
+    Set<String> others = new HashSet<>(context.roles(self.failureDomain()).replicas());
     others.remove(self.hostId());
     ConfigVersion version = store.held().version();
     if (HolderTally.mayActivate(subscribers.otherHolders(self.hostId(), version), others.size())) {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/KeeperRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ReplicaRole.java
@@ -18,16 +18,16 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Subscription of a keeper to the whole configuration: of the poller that invites it; of another
- * keeper of the domain while it lacks what is in force there; or of a relay of another domain while
+ * Subscription of a replica to the whole configuration: of the poller that invites it; of another
+ * replica of the domain while it lacks what is in force there; or of a relay of another domain while
  * no poller invites it.
  */
-final class KeeperRole {
+final class ReplicaRole {
 
   /** Longer than the poller lease, so that a change of poller does not cause it. */
   private static final long MAX_UNINVITED_NANOS = Duration.ofSeconds(4).toNanos();
 
-  /** Longer than keepers need to reach one relay and acknowledge a version. */
+  /** Longer than replicas need to reach one relay and acknowledge a version. */
   private static final int MAX_UNCONFIRMED_CHECKS = 5;
 
   private final DistributionContext context;
@@ -41,7 +41,7 @@
   private int foreignAttempt;
   private int unconfirmedChecks;
 
-  KeeperRole(DistributionContext context, ConfigStore store) {
+  ReplicaRole(DistributionContext context, ConfigStore store) {
     this.context = context;
     this.store = store;
     this.invitedAtNanos = context.time().nanoTime();
@@ -66,13 +66,13 @@
     return context.time().nanoTime() - invitedAtNanos < MAX_UNINVITED_NANOS;
   }
 
-  /** Subscribes to another keeper or domain while no poller provides for this keeper. */
-  void tick(boolean isKeeper) {
+  /** Subscribes to another replica or domain while no poller provides for this replica. */
+  void tick(boolean isReplica) {
     if (foreign != null && foreignIsSibling && store.isComplete()) {
       foreign.close();
     }
     leaveForeignThatDoesNotConfirm();
-    if (!isKeeper || foreign != null || connecting) {
+    if (!isReplica || foreign != null || connecting) {
       return;
     }
     if (!store.isComplete()) {
@@ -83,7 +83,7 @@
   }
 
   /**
-   * Starts again at the first relay when a held version is not confirmed; the keepers of a domain
+   * Starts again at the first relay when a held version is not confirmed; the replicas of a domain
    * may have come to different relays, each of which counts only some of them.
    */
   private void leaveForeignThatDoesNotConfirm() {
@@ -106,17 +106,17 @@
     }
   }
 
-  /** Returns another keeper of the own domain, a different one at each attempt. */
+  /** Returns another replica of the own domain, a different one at each attempt. */
   private Optional<Member> sibling() {
     Member self = context.self();
-    List<String> keepers =
-        context.roles(self.failureDomain()).keepers().stream()
+    List<String> replicas =
+        context.roles(self.failureDomain()).replicas().stream()
             .filter(id -> !id.equals(self.hostId()))
             .toList();
-    if (keepers.isEmpty()) {
+    if (replicas.isEmpty()) {
       return Optional.empty();
     }
-    String wanted = keepers.get(siblingAttempt % keepers.size());
+    String wanted = replicas.get(siblingAttempt % replicas.size());
     return context.membership().domainMembers(self.failureDomain()).stream()
         .filter(member -> member.hostId().equals(wanted))
         .findFirst();
@@ -147,7 +147,7 @@
   }
 
   /**
-   * Returns the relay to subscribe to; all keepers of a domain make the same choice, because that
+   * Returns the relay to subscribe to; all replicas of a domain make the same choice, because that
    * relay tells them how many of them hold a version.
    */
   private Optional<Member> foreignRelay() {
@@ -196,7 +196,7 @@
     } else if (decision == UpdateReceiver.Decision.ACCEPTED) {
       source.send(new HeldMessage(context.self().hostId(), store.wholeVersion()));
       if (source == foreign && foreignIsSibling) {
-        // In force at a keeper of the own domain, so enough keepers held it already.
+        // In force at a replica of the own domain, so enough replicas held it already.
         store.activateHeld(store.held().version());
       }
     }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/Subscribers.java
@@ -17,7 +17,7 @@
 /**
  * Subscriptions of other nodes to this one.
  *
- * <p>A poller sends the keepers of its domain what it holds; all other subscribers get what is in
+ * <p>A poller sends the replicas of its domain what it holds; all other subscribers get what is in
  * force here. Used on one event loop.
  */
 final class Subscribers {
@@ -59,7 +59,7 @@
 
   private final String ownDomain;
   private final ConfigStore store;
-  private final ToIntFunction<String> keeperCount;
+  private final ToIntFunction<String> replicaCount;
   private final BooleanSupplier isPoller;
   private final Map<PeerConnection, Subscriber> byConnection = new HashMap<>();
   private final Map<String, HolderTally> tallies = new HashMap<>();
@@ -69,18 +69,18 @@
    *
    * @param ownDomain failure domain of this node
    * @param store versions of this node
-   * @param keeperCount returns how many keepers a failure domain has
+   * @param replicaCount returns how many replicas a failure domain has
    * @param isPoller returns whether this node is the poller of its domain
    */
   Subscribers(
       String ownDomain,
       ConfigStore store,
-      ToIntFunction<String> keeperCount,
+      ToIntFunction<String> replicaCount,
       BooleanSupplier isPoller) {
     this.isPoller = isPoller;
     this.ownDomain = ownDomain;
     this.store = store;
-    this.keeperCount = keeperCount;
+    this.replicaCount = replicaCount;
   }
 
   void subscribe(PeerConnection connection, SubscribeMessage request) {
@@ -100,8 +100,8 @@
   }
 
   /**
-   * Counts only what the open subscriptions of a keeper acknowledged. The end of an old connection
-   * may be noticed after the keeper has subscribed on a new one.
+   * Counts only what the open subscriptions of a replica acknowledged. The end of an old connection
+   * may be noticed after the replica has subscribed on a new one.
    */
   private void recount(String domain, String hostId) {
     tally(domain).remove(hostId);
@@ -127,7 +127,7 @@
     return own && isPoller.getAsBoolean() ? store.held() : store.active();
   }
 
-  /** Records an acknowledgement of a keeper. */
+  /** Records an acknowledgement of a replica. */
   void onHeld(PeerConnection connection, HeldMessage held) {
     Subscriber subscriber = byConnection.get(connection);
     if (subscriber == null || !subscriber.wantsWhole()) {
@@ -140,23 +140,23 @@
     notifyHolders(domain, held.version());
   }
 
-  /** Tells the keepers of a domain that hold a version once enough others do. */
+  /** Tells the replicas of a domain that hold a version once enough others do. */
   private void notifyHolders(String domain, ConfigVersion version) {
-    int otherKeepers = keeperCount.applyAsInt(domain) - 1;
+    int otherReplicas = replicaCount.applyAsInt(domain) - 1;
     byConnection.forEach(
         (connection, subscriber) -> {
           if (!subscriber.awaitsHolders(domain, version)) {
             return;
           }
           int others = tally(domain).countOthers(subscriber.request.hostId(), version);
-          if (HolderTally.mayActivate(others, otherKeepers)) {
+          if (HolderTally.mayActivate(others, otherReplicas)) {
             subscriber.notified = version;
             connection.send(new HoldersMessage(version, others));
           }
         });
   }
 
-  /** Notifies keepers anew, as the number of keepers may have become smaller. */
+  /** Notifies replicas anew, as the number of replicas may have become smaller. */
   void notifyAllHolders() {
     for (String domain : List.copyOf(tallies.keySet())) {
       boolean own = domain.equals(ownDomain) && isPoller.getAsBoolean();
@@ -164,18 +164,18 @@
     }
   }
 
-  /** Records that this node, itself a keeper, holds a version. */
+  /** Records that this node, itself a replica, holds a version. */
   void recordOwn(String hostId, ConfigVersion version) {
     tally(ownDomain).record(hostId, version);
     notifyHolders(ownDomain, version);
   }
 
-  /** Returns how many keepers of the own domain other than this node hold a version. */
+  /** Returns how many replicas of the own domain other than this node hold a version. */
   int otherHolders(String hostId, ConfigVersion version) {
     return tally(ownDomain).countOthers(hostId, version);
   }
 
-  /** Sends the whole again to keepers that do not acknowledge what was sent. */
+  /** Sends the whole again to replicas that do not acknowledge what was sent. */
   void resendUnacknowledged() {
     byConnection.forEach(
         (connection, subscriber) -> {
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
@@ -268,7 +268,7 @@
     long intervalMs = alone ? Math.min(ALONE_SEEDS_INTERVAL_MS, seedsIntervalMs) : seedsIntervalMs;
     nextSeedsMs = nowMs + intervalMs / 2 + random.nextLong(intervalMs);
     Uni<Void> work = alone ? readSeeds() : Uni.createFrom().voidItem();
-    if (seedRow.isKeeper(state)) {
+    if (seedRow.isMaintainer(state)) {
       work = work.chain(() -> seedRow.refresh(state));
     }
     readingSeeds = true;
--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/SeedRow.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/SeedRow.java
@@ -36,7 +36,7 @@
   }
 
   /** Returns whether this node is the one that keeps the row fresh. */
-  boolean isKeeper(MembershipView view) {
+  boolean isMaintainer(MembershipView view) {
     Member self = view.self();
     List<Member> lowest = RendezvousHash.lowest(view.domainMembers(self.failureDomain()), key, 1);
     return !lowest.isEmpty() && lowest.get(0).hostId().equals(self.hostId());
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/FloorRequestMessage.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/FloorRequestMessage.java
@@ -1,7 +1,7 @@
 package org.acaciapond.protocol.message;
 
 /**
- * Question of a starting node for the highest version that a keeper holds.
+ * Question of a starting node for the highest version that a replica holds.
  *
  * @param hostId host that asks
  */
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/HeldMessage.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/message/HeldMessage.java
@@ -3,9 +3,9 @@
 import org.acaciapond.config.version.ConfigVersion;
 
 /**
- * Report that a keeper holds a version.
+ * Report that a replica holds a version.
  *
- * @param hostId host of the keeper
+ * @param hostId host of the replica
  * @param version version that it holds
  */
 public record HeldMessage(String hostId, ConfigVersion version) implements Message {}
