--- a/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
+++ b/acaciapond-distribution/src/main/java/org/acaciapond/distribution/floor/HolderTally.java
@@ -34,8 +34,8 @@
   /**
    * Returns whether a poller or relay may put a version in force.
    *
-   * <p>Only replicas count, because only they are asked for the floor: a poller that is not a replica
-   * would be missed by a replica that restarts.
+   * <p>Only replicas count, because only they are asked for the floor: a poller that is not a
+   * replica would be missed by a replica that restarts.
    *
    * @param otherHolders other replicas of its domain that hold the version
    * @param otherReplicas other replicas of its domain
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/FloorRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/FloorRole.java
@@ -19,8 +19,8 @@
 final class FloorRole {
 
   /**
-   * Leaves give the replicas time before they read the platform, so that a domain that restarts as a
-   * whole does not exceed the platform's read limit.
+   * Leaves give the replicas time before they read the platform, so that a domain that restarts as
+   * a whole does not exceed the platform's read limit.
    */
   private static final long LEAF_PLATFORM_DELAY_MS = 3_000;
 
@@ -64,7 +64,8 @@
       }
     }
     boolean central =
-        roles.replicas().contains(self.hostId()) || roles.pollerCandidates().contains(self.hostId());
+        roles.replicas().contains(self.hostId())
+            || roles.pollerCandidates().contains(self.hostId());
     readPlatform(
         central ? REPLICA_PLATFORM_DELAY_MS : LEAF_PLATFORM_DELAY_MS,
         central ? REPLICA_PLATFORM_JITTER_MS : LEAF_PLATFORM_JITTER_MS);
--- a/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ReplicaRole.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/distribution/ReplicaRole.java
@@ -19,8 +19,8 @@
 
 /**
  * Subscription of a replica to the whole configuration: of the poller that invites it; of another
- * replica of the domain while it lacks what is in force there; or of a relay of another domain while
- * no poller invites it.
+ * replica of the domain while it lacks what is in force there; or of a relay of another domain
+ * while no poller invites it.
  */
 final class ReplicaRole {
 
