Spread a taken-back fact whatever the length of its reason

Gossip refuses values above 700 bytes, so a take-back with a long reason stayed in the table and no node dropped the version (read from the code). A value that is too long is now replaced in gossip; a new test asserts the bound.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/rollout/RolloutGossip.java
@@ -28,6 +28,11 @@
   /** Longer reasons would not fit into one gossip entry. */
   private static final int MAX_REASON_CHARS = 160;
 
+  /** Below the bound of a gossip value, 700 bytes. */
+  private static final int MAX_FACT_BYTES = 600;
+
+  private static final byte[] LONG_FACT = encodeFact("", "", "the reason is in the table");
+
   private RolloutGossip() {}
 
   /**
@@ -73,8 +78,13 @@
         GRANT_PREFIX + recorded.row().service(), recorded.revision(), encode(recorded.row()));
   }
 
+  /**
+   * Returns the gossip entry of a fact. Gossip refuses values that are too long, and a fact must
+   * spread whatever an operator wrote as its reason, so such a value is left out.
+   */
   static GossipEntry factEntry(String key, byte[] value) {
-    return new GossipEntry(key, FACT_REVISION, value);
+    byte[] bounded = value.length <= MAX_FACT_BYTES ? value : LONG_FACT;
+    return new GossipEntry(key, FACT_REVISION, bounded);
   }
 
   static Optional<RecordedRow> decodeGrant(GossipEntry entry) {
--- a/acaciapond-node/src/test/java/org/acaciapond/node/rollout/TableSyncTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/rollout/TableSyncTest.java
@@ -18,6 +18,9 @@
       RolloutGossip.factKey(new TakenBack(JudgeFixture.SERVICE, "v2"));
   private static final byte[] FACT = RolloutGossip.encodeFact("judge", "now", "errors");
 
+  /** Longest value that gossip accepts. */
+  private static final int GOSSIP_VALUE_BYTES = 700;
+
   private final ManualTimeSource time = new ManualTimeSource(JudgeFixture.START);
   private final FakePlatform.Table table = new FakePlatform.Table();
   private final FakePlatform platform = new FakePlatform(table);
@@ -64,6 +67,17 @@
     assertTrue(gossip.get(KEY).isPresent());
   }
 
+  /** Guards against a take-back that gossip refuses because its reason is too long for a value. */
+  @Test
+  void factWithLongReasonStillSpreads() {
+    run(3);
+    byte[] longFact = ("{\"reason\": \"" + "x".repeat(5_000) + "\"}").getBytes();
+    table.write(KEY, 0, longFact);
+    table.write(TableKeys.TAKEN_BACK_INDEX, 0, new byte[0]);
+    run(1);
+    assertTrue(gossip.get(KEY).orElseThrow().value().length <= GOSSIP_VALUE_BYTES);
+  }
+
   /** Guards against one malformed row that keeps all others from gossip. */
   @Test
   void malformedRowDoesNotStopTheOthers() {
