Import the types that were written with their package

Seven files named java.util types in full in the middle of the code. Imports only. Run: tests of rollout, membership, routing and protocol with what they depend on; formatter, linter and compiler of all modules.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutReport.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/rollout/RolloutReport.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** Figures of all runs, in the fields that the design fixes. */
 final class RolloutReport {
@@ -146,7 +147,7 @@
       ObjectNode node,
       String field,
       List<RolloutRun.Result> results,
-      java.util.function.Predicate<RolloutRun.Result> right) {
+      Predicate<RolloutRun.Result> right) {
     if (results.isEmpty()) {
       node.putNull(field);
     } else {
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/MembershipState.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/MembershipState.java
@@ -1,6 +1,7 @@
 package org.acaciapond.membership;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -458,7 +459,7 @@
     return table.entries().stream()
         .map(MemberEntry::member)
         .filter(member -> member.state() == MemberState.DEAD)
-        .sorted(java.util.Comparator.comparing(Member::hostId))
+        .sorted(Comparator.comparing(Member::hostId))
         .toList();
   }
 
--- a/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Joiner.java
+++ b/acaciapond-membership/src/main/java/org/acaciapond/membership/internal/Joiner.java
@@ -1,7 +1,9 @@
 package org.acaciapond.membership.internal;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.acaciapond.membership.GossipEntry;
 import org.acaciapond.membership.Member;
 import org.acaciapond.membership.MembershipAction;
@@ -140,7 +142,7 @@
     private static final int BURST_BYTES = 128 * 1024;
 
     private final Exchange exchange;
-    private final java.util.Map<NodeAddress, Long> active = new java.util.HashMap<>();
+    private final Map<NodeAddress, Long> active = new HashMap<>();
     private double allowanceBytes = BURST_BYTES;
     private long refilledAtMs;
     private long deferred;
--- a/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerConnection.java
+++ b/acaciapond-protocol/src/main/java/org/acaciapond/protocol/transport/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.acaciapond.protocol.transport;
 
+import java.util.function.Consumer;
 import org.acaciapond.protocol.message.Message;
 
 /** Open connection to another node. */
@@ -12,7 +13,7 @@
   void send(Message message);
 
   /** Registers the receiver of messages; there is one. */
-  void onMessage(java.util.function.Consumer<Message> receiver);
+  void onMessage(Consumer<Message> receiver);
 
   /** Registers a callback for the end of the connection; it runs at once when that has come. */
   void onClose(Runnable callback);
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/judgement/RolloutJudge.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.acaciapond.rollout.evidence.EvidenceSummary;
 import org.acaciapond.rollout.evidence.RouteCounts;
 
@@ -196,7 +197,7 @@
     }
   }
 
-  private void forEachLedger(java.util.function.Consumer<Ledger> action) {
+  private void forEachLedger(Consumer<Ledger> action) {
     routes.values().forEach(route -> route.all().forEach(action));
     together.all().forEach(action);
   }
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/route/RouteTable.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.acaciapond.routing.route;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import org.acaciapond.config.model.RouteConfig;
 import org.acaciapond.config.model.ServiceConfig;
@@ -15,7 +16,7 @@
   /** Creates the table of a service. */
   public RouteTable(ServiceConfig service) {
     this.longestFirst = service.routes().toArray(new RouteConfig[0]);
-    java.util.Arrays.sort(
+    Arrays.sort(
         longestFirst, Comparator.comparingInt((RouteConfig r) -> r.path().length()).reversed());
   }
 
--- a/acaciapond-routing/src/main/java/org/acaciapond/routing/target/OutlierDetector.java
+++ b/acaciapond-routing/src/main/java/org/acaciapond/routing/target/OutlierDetector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.routing.call.AttemptResult;
 
@@ -211,7 +212,7 @@
     return hosts.entrySet().stream()
         .filter(e -> e.getValue().ejected)
         .map(Map.Entry::getKey)
-        .collect(java.util.stream.Collectors.toUnmodifiableSet());
+        .collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns how often a target was ejected. */
