--- /dev/null
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -0,0 +1,309 @@
+package org.acaciapond.http;
+
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.acaciapond.common.time.TimeSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Client side of one connection with one request at a time. A connection on which anything but the
+ * expected answer arrived is never used again.
+ */
+public final class ClientConnection {
+
+  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int CHUNK_BYTES = 65_536;
+
+  /** Receives the end of a request; exactly one of its methods is called. */
+  public interface Listener {
+    /** The whole answer has arrived. */
+    void answered(HttpAnswer answer);
+
+    /**
+     * No whole answer will arrive; the request may have run.
+     *
+     * @param badAnswer whether something arrived that is not the answer
+     */
+    void failed(boolean badAnswer, String message);
+  }
+
+  private final NetSocketInternal socket;
+  private final TimeSource time;
+  private final int maxBodyBytes;
+  private final Runnable onClosed;
+  private @Nullable ClientRequest request;
+  private @Nullable Listener listener;
+  private @Nullable HttpResponse head;
+  private List<String> headers = List.of();
+  private @Nullable CompositeByteBuf body;
+  private boolean skipping;
+  private boolean reusable = true;
+  private boolean closed;
+  private boolean requestWritten;
+  private boolean closeDelimitedReset;
+  private long lastUsedNanos;
+  private long keepAliveNanos = Long.MAX_VALUE;
+  private int served;
+
+  /**
+   * Wraps a connected socket.
+   *
+   * @param socket socket that is connected
+   * @param maxBodyBytes longest body of an answer
+   * @param onClosed called once when the connection ends
+   * @param time clock
+   */
+  public ClientConnection(
+      NetSocketInternal socket, int maxBodyBytes, Runnable onClosed, TimeSource time) {
+    this.socket = socket;
+    this.maxBodyBytes = maxBodyBytes;
+    this.onClosed = onClosed;
+    this.time = time;
+    this.lastUsedNanos = time.nanoTime();
+    ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    pipeline.addBefore(
+        "handler",
+        "decoder",
+        new HttpResponseDecoder(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES));
+    pipeline.addBefore("handler", "encoder", new HttpRequestEncoder());
+    socket.messageHandler(this::onMessage);
+    socket.exceptionHandler(error -> onException(error));
+    socket.closeHandler(done -> onClose());
+  }
+
+  /** Sends a request; the connection must be free. */
+  public void send(ClientRequest sent, Listener answerTo) {
+    request = sent;
+    listener = answerTo;
+    served++;
+    requestWritten = false;
+    DefaultFullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(sent.method()),
+            sent.uri(),
+            Unpooled.wrappedBuffer(sent.body()));
+    for (int i = 0; i + 1 < sent.headers().size(); i += 2) {
+      message.headers().add(sent.headers().get(i), sent.headers().get(i + 1));
+    }
+    if (sent.body().length > 0 || !"GET".equals(sent.method())) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, sent.body().length);
+    }
+    socket
+        .writeMessage(message)
+        .onComplete(
+            done -> {
+              requestWritten = done.succeeded();
+              if (done.failed()) {
+                fail(false, "request could not be written");
+                close();
+              }
+            });
+  }
+
+  /** Returns whether another request may be sent after an idle time of at most the given length. */
+  public boolean usable(long nowNanos, long maxIdleNanos) {
+    long idleNanos = nowNanos - lastUsedNanos;
+    return reusable
+        && !closed
+        && request == null
+        && idleNanos < maxIdleNanos
+        && idleNanos < keepAliveNanos;
+  }
+
+  /** Returns how many requests were sent on the connection. */
+  public int served() {
+    return served;
+  }
+
+  /** Closes the connection; a request that is under way fails. */
+  public void close() {
+    reusable = false;
+    if (!closed) {
+      socket.close();
+    }
+  }
+
+  /** Forgets the request that is under way and closes the connection. */
+  public void abandon() {
+    listener = null;
+    close();
+  }
+
+  private void onMessage(Object message) {
+    try {
+      if (message instanceof HttpObject object && !closed) {
+        onObject(object);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onObject(HttpObject object) {
+    if (object.decoderResult().isFailure()) {
+      fail(true, "answer cannot be read");
+      close();
+      return;
+    }
+    ClientRequest sent = request;
+    if (sent == null) {
+      // Bytes that belong to no request.
+      close();
+      return;
+    }
+    if (object instanceof HttpResponse response) {
+      onHead(sent, response);
+    }
+    if (object instanceof HttpContent content && head != null) {
+      onContent(content);
+    }
+  }
+
+  private void onHead(ClientRequest sent, HttpResponse response) {
+    List<String> received = new ArrayList<>();
+    for (Map.Entry<String, String> header : response.headers()) {
+      received.add(header.getKey());
+      received.add(header.getValue());
+    }
+    head = response;
+    headers = received;
+    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    skipping = informational || !sent.belongs().test(received);
+    if (skipping && !informational) {
+      // An answer to an earlier request: this request's own answer may still follow it.
+      reusable = false;
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (!skipping && content.content().isReadable()) {
+      if (body == null) {
+        body = Unpooled.compositeBuffer(256);
+      }
+      body.addComponent(true, content.content().retain());
+      if (body.readableBytes() > maxBodyBytes) {
+        fail(true, "answer is longer than " + maxBodyBytes + " bytes");
+        close();
+        return;
+      }
+    }
+    if (content instanceof LastHttpContent) {
+      onEnd();
+    }
+  }
+
+  private void onEnd() {
+    HttpResponse ended = head;
+    head = null;
+    if (skipping || ended == null) {
+      skipping = false;
+      return;
+    }
+    boolean lengthKnown =
+        ended.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+            || ended.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+    if (!lengthKnown && closeDelimitedReset) {
+      fail(true, "answer without a length was reset");
+      return;
+    }
+    readConnectionHeaders(ended, lengthKnown);
+    HttpAnswer answer = new HttpAnswer(ended.status().code(), headers, takeBody());
+    Listener to = listener;
+    listener = null;
+    request = null;
+    lastUsedNanos = time.nanoTime();
+    if (!reusable) {
+      socket.close();
+    }
+    if (to != null) {
+      to.answered(answer);
+    }
+  }
+
+  private void readConnectionHeaders(HttpResponse ended, boolean lengthKnown) {
+    if (!lengthKnown && ended.status().code() != 204 && ended.status().code() != 304) {
+      reusable = false;
+    }
+    if (!requestWritten) {
+      // The rest of a long request body is still on its way.
+      reusable = false;
+    }
+    String connection = ended.headers().get(HttpHeaderNames.CONNECTION);
+    if (connection != null && connection.equalsIgnoreCase("close")) {
+      reusable = false;
+    }
+    String keepAlive = ended.headers().get("Keep-Alive");
+    if (keepAlive != null) {
+      keepAliveNanos = keepAliveNanos(keepAlive);
+    }
+  }
+
+  // Half of the announced time keeps clear of the moment at which the other side closes.
+  private static long keepAliveNanos(String header) {
+    for (String part : header.split(",")) {
+      String[] pair = part.trim().split("=");
+      if (pair.length == 2 && pair[0].trim().equalsIgnoreCase("timeout")) {
+        try {
+          return Long.parseLong(pair[1].trim()) * 500_000_000L;
+        } catch (NumberFormatException e) {
+          return 0;
+        }
+      }
+    }
+    return Long.MAX_VALUE;
+  }
+
+  private byte[] takeBody() {
+    CompositeByteBuf held = body;
+    if (held == null) {
+      return new byte[0];
+    }
+    body = null;
+    byte[] bytes = new byte[held.readableBytes()];
+    held.readBytes(bytes);
+    held.release();
+    return bytes;
+  }
+
+  private void fail(boolean badAnswer, String message) {
+    reusable = false;
+    Listener to = listener;
+    listener = null;
+    request = null;
+    takeBody();
+    if (to != null) {
+      to.failed(badAnswer, message);
+    }
+  }
+
+  private void onException(Throwable error) {
+    closeDelimitedReset = true;
+    reusable = false;
+  }
+
+  private void onClose() {
+    boolean partial = head != null && !skipping;
+    closed = true;
+    onClosed.run();
+    fail(partial, partial ? "answer ended early" : "connection closed without an answer");
+  }
+}
--- /dev/null
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpAnswer.java
@@ -0,0 +1,20 @@
+package org.acaciapond.http;
+
+import java.util.List;
+
+/**
+ * Answer to a request.
+ *
+ * @param status HTTP status
+ * @param headers names and values in turn, without those of the connection
+ * @param body whole body
+ */
+public record HttpAnswer(int status, List<String> headers, byte[] body) {
+
+  private static final byte[] EMPTY = new byte[0];
+
+  /** Returns an answer without a body. */
+  public static HttpAnswer empty(int status, List<String> headers) {
+    return new HttpAnswer(status, headers, EMPTY);
+  }
+}
--- /dev/null
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
@@ -0,0 +1,70 @@
+package org.acaciapond.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Headers of a message as names and values in turn. */
+public final class HttpMessage {
+
+  private HttpMessage() {}
+
+  /** Returns the first value of a header, or null. */
+  public static @Nullable String header(List<String> headers, String name) {
+    for (int i = 0; i + 1 < headers.size(); i += 2) {
+      if (headers.get(i).equalsIgnoreCase(name)) {
+        return headers.get(i + 1);
+      }
+    }
+    return null;
+  }
+
+  /** Returns the headers without those that concern one connection and without the named ones. */
+  public static List<String> endToEnd(List<String> headers, List<String> dropped) {
+    List<String> kept = new ArrayList<>(headers.size());
+    String connection = header(headers, "connection");
+    for (int i = 0; i + 1 < headers.size(); i += 2) {
+      String name = headers.get(i);
+      if (!isOfConnection(name) && !listed(connection, name) && !contains(dropped, name)) {
+        kept.add(name);
+        kept.add(headers.get(i + 1));
+      }
+    }
+    return kept;
+  }
+
+  private static boolean isOfConnection(String name) {
+    return switch (name.length()) {
+      case 2 -> name.equalsIgnoreCase("te");
+      case 6 -> name.equalsIgnoreCase("expect");
+      case 7 -> name.equalsIgnoreCase("trailer") || name.equalsIgnoreCase("upgrade");
+      case 10 -> name.equalsIgnoreCase("connection") || name.equalsIgnoreCase("keep-alive");
+      case 14 -> name.equalsIgnoreCase("content-length");
+      case 16 -> name.equalsIgnoreCase("proxy-connection");
+      case 17 -> name.equalsIgnoreCase("transfer-encoding");
+      case 19 -> name.equalsIgnoreCase("proxy-authorization");
+      default -> false;
+    };
+  }
+
+  private static boolean listed(@Nullable String connection, String name) {
+    if (connection == null) {
+      return false;
+    }
+    for (String token : connection.split(",")) {
+      if (token.trim().equalsIgnoreCase(name)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean contains(List<String> names, String name) {
+    for (String each : names) {
+      if (each.equalsIgnoreCase(name)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
@@ -0,0 +1,176 @@
+package org.acaciapond.mesh.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * Admission to one target: exactly as many calls run as it has slots, and a call waits only while
+ * its estimated wait leaves it in time. Waiting calls are served by rank, then by the time at which
+ * their answer loses worth.
+ *
+ * @param <T> type of calls
+ */
+public final class DoorQueue<T> {
+
+  // A refusal after a long wait costs its caller more than an early one, so less urgent calls may
+  // only use a part of the time that they could wait.
+  private static final double URGENT_WAIT_SHARE = 0.8;
+  private static final double NORMAL_WAIT_SHARE = 0.5;
+  private static final double LATE_WAIT_SHARE = 0.25;
+  private static final int URGENT_RANK = 1;
+  // Running calls are on average half done.
+  private static final double RESIDUAL_SHARE = 0.5;
+  private static final int MIN_RETRY_AFTER_MS = 20;
+
+  private static final Comparator<Ticket<?>> ORDER =
+      Comparator.<Ticket<?>>comparingInt(ticket -> ticket.type.rank())
+          .thenComparingLong(ticket -> ticket.type.objectiveAtNanos())
+          .thenComparingLong(ticket -> ticket.number);
+
+  private final ServiceTimes times;
+  private final TreeSet<Ticket<T>> waiting = new TreeSet<>(ORDER);
+  private int slots;
+  private int running;
+  private long nextNumber;
+
+  /** A waiting call. */
+  private static final class Ticket<T> {
+    final T call;
+    final CallClass type;
+    final long number;
+    final double workUs;
+
+    Ticket(T call, CallClass type, long number, double workUs) {
+      this.call = call;
+      this.type = type;
+      this.number = number;
+      this.workUs = workUs;
+    }
+  }
+
+  /** Calls that a freed slot goes to, and calls that waited too long. */
+  public record Released<T>(List<T> run, List<T> refused) {}
+
+  /** Creates a queue that admits nothing until it is told of slots. */
+  public DoorQueue(ServiceTimes times) {
+    this.times = times;
+  }
+
+  /** Sets the number of calls that may run at once; 0 shuts the door. */
+  public void slots(int count) {
+    slots = count;
+  }
+
+  /** Returns the calls that run. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the calls that wait. */
+  public int queued() {
+    return waiting.size();
+  }
+
+  /** Decides on a call. */
+  public Offer<T> offer(T call, CallClass type, long nowNanos) {
+    double workUs = times.expectedUs(type.route());
+    if (running < slots && waiting.isEmpty()) {
+      running++;
+      return new Offer<>(Offer.Decision.RUN, 0, List.of());
+    }
+    Ticket<T> ticket = new Ticket<>(call, type, nextNumber++, workUs);
+    double waitUs = waitUs(ticket);
+    double limitUs = limitUs(type, workUs, nowNanos);
+    if (slots == 0 || waitUs > limitUs) {
+      int retryAfterMs = (int) Math.max(MIN_RETRY_AFTER_MS, (waitUs - limitUs) / 1000);
+      return new Offer<>(Offer.Decision.REFUSE, retryAfterMs, List.of());
+    }
+    waiting.add(ticket);
+    return new Offer<>(Offer.Decision.WAIT, 0, evictHopeless(ticket, nowNanos));
+  }
+
+  private double waitUs(Ticket<T> ticket) {
+    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    for (Ticket<T> ahead : waiting.headSet(ticket)) {
+      aheadUs += ahead.workUs;
+    }
+    return aheadUs / Math.max(1, slots);
+  }
+
+  private static double limitUs(CallClass type, double workUs, long nowNanos) {
+    double slackUs = (type.objectiveAtNanos() - nowNanos) / 1000.0 - workUs;
+    if (slackUs > 0) {
+      return slackUs * (type.rank() <= URGENT_RANK ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
+    }
+    double lateSlackUs = (type.deadlineNanos() - nowNanos) / 1000.0 - workUs;
+    return Math.max(0, lateSlackUs * LATE_WAIT_SHARE);
+  }
+
+  // Calls behind the new one that would now miss their deadline are refused while it is early.
+  private List<T> evictHopeless(Ticket<T> added, long nowNanos) {
+    List<T> evicted = new ArrayList<>();
+    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    Iterator<Ticket<T>> each = waiting.iterator();
+    while (each.hasNext()) {
+      Ticket<T> ticket = each.next();
+      double endUs = aheadUs / Math.max(1, slots) + ticket.workUs;
+      boolean hopeless = endUs > (ticket.type.deadlineNanos() - nowNanos) / 1000.0;
+      if (hopeless && ORDER.compare(ticket, added) > 0) {
+        each.remove();
+        evicted.add(ticket.call);
+      } else {
+        aheadUs += ticket.workUs;
+      }
+    }
+    return evicted;
+  }
+
+  /** Frees the slot of a call that ended and returns what follows. */
+  public Released<T> release(long nowNanos) {
+    running--;
+    return fill(nowNanos);
+  }
+
+  /** Gives free slots to waiting calls. */
+  public Released<T> fill(long nowNanos) {
+    List<T> run = new ArrayList<>();
+    List<T> refused = new ArrayList<>();
+    while (running < slots && !waiting.isEmpty()) {
+      Ticket<T> first = waiting.first();
+      waiting.remove(first);
+      double leftUs = (first.type.deadlineNanos() - nowNanos) / 1000.0;
+      if (leftUs < first.workUs * RESIDUAL_SHARE) {
+        refused.add(first.call);
+      } else {
+        running++;
+        run.add(first.call);
+      }
+    }
+    return new Released<>(run, refused);
+  }
+
+  /** Removes a waiting call that its caller gave up; returns whether it was waiting. */
+  public boolean cancel(T call) {
+    return waiting.removeIf(ticket -> ticket.call == call);
+  }
+
+  /** Empties the queue and returns the calls that waited. */
+  public List<T> drainQueue() {
+    List<T> calls = new ArrayList<>();
+    waiting.forEach(ticket -> calls.add(ticket.call));
+    waiting.clear();
+    return calls;
+  }
+
+  /** Returns after how many milliseconds a refused call would find room. */
+  public int retryAfterMs() {
+    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    for (Ticket<T> ticket : waiting) {
+      aheadUs += ticket.workUs;
+    }
+    return (int) Math.max(MIN_RETRY_AFTER_MS, aheadUs / Math.max(1, slots) / 1000);
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -0,0 +1,264 @@
+package org.acaciapond.mesh.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.target.Phase;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** MessagePack codec of the messages between nodes; fields stand in the order of their records. */
+public final class PeerCodec {
+
+  private static final int HELLO = 1;
+  private static final int STATUS = 2;
+  private static final int CALL = 3;
+  private static final int REPLY = 4;
+  private static final int CANCEL = 5;
+  private static final int PING = 6;
+  private static final int PONG = 7;
+  private static final int STATE_REQUEST = 8;
+  private static final int STATE_ROWS = 9;
+  private static final int NODES = 10;
+  private static final int MAX_LIST = 100_000;
+
+  private PeerCodec() {}
+
+  /** Encodes a message. */
+  public static byte[] encode(PeerMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      write(out, message);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "message cannot be encoded", e);
+    }
+  }
+
+  /** Decodes a message. */
+  public static PeerMessage decode(byte[] bytes) {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      return read(in);
+    } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "message cannot be decoded", e);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.Hello hello) {
+      out.packInt(HELLO);
+      writeNode(out, hello.node());
+      out.packLong(hello.stateVersion());
+    } else if (message instanceof PeerMessage.Status status) {
+      out.packInt(STATUS);
+      writeStatus(out, status.status());
+      writeLoad(out, status.load());
+      out.packLong(status.stateVersion());
+    } else if (message instanceof PeerMessage.Call call) {
+      out.packInt(CALL).packLong(call.number());
+      writeCall(out, call.call());
+    } else if (message instanceof PeerMessage.Reply reply) {
+      out.packInt(REPLY).packLong(reply.number());
+      writeReply(out, reply.reply());
+    } else if (message instanceof PeerMessage.Cancel cancel) {
+      out.packInt(CANCEL).packLong(cancel.number());
+    } else if (message instanceof PeerMessage.Ping ping) {
+      out.packInt(PING).packLong(ping.number());
+    } else if (message instanceof PeerMessage.Pong pong) {
+      out.packInt(PONG).packLong(pong.number());
+    } else if (message instanceof PeerMessage.StateRequest) {
+      out.packInt(STATE_REQUEST);
+    } else if (message instanceof PeerMessage.StateRows rows) {
+      out.packInt(STATE_ROWS).packInt(rows.rows().size());
+      for (PeerMessage.HeldRow row : rows.rows()) {
+        out.packString(row.key()).packLong(row.rowVersion());
+        writeBytes(out, row.value());
+      }
+    } else if (message instanceof PeerMessage.Nodes nodes) {
+      out.packInt(NODES).packInt(nodes.nodes().size());
+      for (NodeRecord node : nodes.nodes()) {
+        writeNode(out, node);
+      }
+    }
+  }
+
+  private static PeerMessage read(MessageUnpacker in) throws IOException {
+    int type = in.unpackInt();
+    return switch (type) {
+      case HELLO -> new PeerMessage.Hello(readNode(in), in.unpackLong());
+      case STATUS -> new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong());
+      case CALL -> new PeerMessage.Call(in.unpackLong(), readCall(in));
+      case REPLY -> new PeerMessage.Reply(in.unpackLong(), readReply(in));
+      case CANCEL -> new PeerMessage.Cancel(in.unpackLong());
+      case PING -> new PeerMessage.Ping(in.unpackLong());
+      case PONG -> new PeerMessage.Pong(in.unpackLong());
+      case STATE_REQUEST -> new PeerMessage.StateRequest();
+      case STATE_ROWS -> {
+        int count = readCount(in);
+        List<PeerMessage.HeldRow> rows = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+          rows.add(new PeerMessage.HeldRow(in.unpackString(), in.unpackLong(), readBytes(in)));
+        }
+        yield new PeerMessage.StateRows(rows);
+      }
+      case NODES -> {
+        int count = readCount(in);
+        List<NodeRecord> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+          nodes.add(readNode(in));
+        }
+        yield new PeerMessage.Nodes(nodes);
+      }
+      default ->
+          throw new PeerException(
+              PeerErrorCode.MALFORMED_MESSAGE, "unknown message type " + type, null);
+    };
+  }
+
+  /** Encodes the record of a node, as it lies in the store. */
+  public static byte[] encodeNode(NodeRecord node) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      writeNode(out, node);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "node cannot be encoded", e);
+    }
+  }
+
+  /** Decodes the record of a node. */
+  public static NodeRecord decodeNode(byte[] bytes) {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      return readNode(in);
+    } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "node cannot be decoded", e);
+    }
+  }
+
+  private static void writeNode(MessageBufferPacker out, NodeRecord node) throws IOException {
+    out.packString(node.key()).packString(node.host()).packInt(node.port());
+    out.packString(node.zone()).packString(node.service()).packLong(node.startedMs());
+  }
+
+  private static NodeRecord readNode(MessageUnpacker in) throws IOException {
+    return new NodeRecord(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackInt(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackLong());
+  }
+
+  private static void writeStatus(MessageBufferPacker out, TargetStatus status) throws IOException {
+    out.packString(status.id()).packLong(status.bornMs()).packString(status.service());
+    out.packString(status.version()).packInt(status.phase().ordinal()).packInt(status.slots());
+    out.packBoolean(status.nodeLeaving()).packLong(status.number());
+  }
+
+  private static TargetStatus readStatus(MessageUnpacker in) throws IOException {
+    return new TargetStatus(
+        in.unpackString(),
+        in.unpackLong(),
+        in.unpackString(),
+        in.unpackString(),
+        Phase.values()[in.unpackInt()],
+        in.unpackInt(),
+        in.unpackBoolean(),
+        in.unpackLong());
+  }
+
+  private static void writeLoad(MessageBufferPacker out, TargetLoad load) throws IOException {
+    out.packInt(load.running()).packInt(load.queued());
+    out.packInt(load.serviceUs()).packInt(load.failurePermille());
+  }
+
+  private static TargetLoad readLoad(MessageUnpacker in) throws IOException {
+    return new TargetLoad(in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt());
+  }
+
+  private static void writeCall(MessageBufferPacker out, MeshCall call) throws IOException {
+    out.packString(call.id()).packString(call.method()).packString(call.uri());
+    writeStrings(out, call.headers());
+    writeBytes(out, call.body());
+    out.packInt(call.leftMs()).packInt(call.objectiveLeftMs()).packInt(call.rank());
+    out.packString(call.route()).packString(call.callerService()).packString(call.targetId());
+    out.packBoolean(call.repeatable());
+  }
+
+  private static MeshCall readCall(MessageUnpacker in) throws IOException {
+    return new MeshCall(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        readStrings(in),
+        readBytes(in),
+        in.unpackInt(),
+        in.unpackInt(),
+        in.unpackInt(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackBoolean());
+  }
+
+  private static void writeReply(MessageBufferPacker out, MeshReply reply) throws IOException {
+    out.packInt(reply.outcome().ordinal()).packInt(reply.reason().ordinal());
+    out.packInt(reply.retryAfterMs()).packInt(reply.status());
+    writeStrings(out, reply.headers());
+    writeBytes(out, reply.body());
+    out.packInt(reply.runUs());
+    writeLoad(out, reply.load());
+  }
+
+  private static MeshReply readReply(MessageUnpacker in) throws IOException {
+    return new MeshReply(
+        Outcome.values()[in.unpackInt()],
+        Reason.values()[in.unpackInt()],
+        in.unpackInt(),
+        in.unpackInt(),
+        readStrings(in),
+        readBytes(in),
+        in.unpackInt(),
+        readLoad(in));
+  }
+
+  private static void writeStrings(MessageBufferPacker out, List<String> values)
+      throws IOException {
+    out.packInt(values.size());
+    for (String value : values) {
+      out.packString(value);
+    }
+  }
+
+  private static List<String> readStrings(MessageUnpacker in) throws IOException {
+    int count = readCount(in);
+    List<String> values = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      values.add(in.unpackString());
+    }
+    return values;
+  }
+
+  private static void writeBytes(MessageBufferPacker out, byte[] bytes) throws IOException {
+    out.packBinaryHeader(bytes.length).writePayload(bytes);
+  }
+
+  private static byte[] readBytes(MessageUnpacker in) throws IOException {
+    return in.readPayload(in.unpackBinaryHeader());
+  }
+
+  private static int readCount(MessageUnpacker in) throws IOException {
+    int count = in.unpackInt();
+    if (count < 0 || count > MAX_LIST) {
+      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "list of " + count, null);
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -0,0 +1,53 @@
+package org.acaciapond.mesh.peer;
+
+import java.util.List;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetStatus;
+
+/** Message between two nodes. */
+public sealed interface PeerMessage {
+
+  /**
+   * First message of each side.
+   *
+   * @param node the sender
+   * @param stateVersion version of the desired state that the sender holds, -1 for none
+   */
+  record Hello(NodeRecord node, long stateVersion) implements PeerMessage {}
+
+  /** State of the target beside the sender, on change and as a sign of life. */
+  record Status(TargetStatus status, TargetLoad load, long stateVersion) implements PeerMessage {}
+
+  /** Call to the target beside the receiver. */
+  record Call(long number, MeshCall call) implements PeerMessage {}
+
+  /** End of a call. */
+  record Reply(long number, MeshReply reply) implements PeerMessage {}
+
+  /** The caller gave a call up. */
+  record Cancel(long number) implements PeerMessage {}
+
+  /** Question whether the connection still carries bytes. */
+  record Ping(long number) implements PeerMessage {}
+
+  /** Answer to a ping. */
+  record Pong(long number) implements PeerMessage {}
+
+  /** Question for the operator's rows that the receiver holds. */
+  record StateRequest() implements PeerMessage {}
+
+  /**
+   * Operator's rows that the sender holds.
+   *
+   * @param rows keys and values as they lie in the store
+   */
+  record StateRows(List<HeldRow> rows) implements PeerMessage {}
+
+  /** Nodes that the sender knows. */
+  record Nodes(List<NodeRecord> nodes) implements PeerMessage {}
+
+  /** One row of the operator. */
+  record HeldRow(String key, long rowVersion, byte[] value) {}
+}
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Budget of repeated calls. */
+@NullMarked
+package org.acaciapond.mesh.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -0,0 +1,106 @@
+package org.acaciapond.mesh.target;
+
+/** One target as a caller's node sees it; changed on the event loop only. */
+public final class Candidate {
+
+  // Reports older than this say little of the present load; the estimate then relies on the calls
+  // of this node alone.
+  private static final double REPORT_HALF_LIFE_MS = 300;
+
+  private final String node;
+  private final String zone;
+  private volatile TargetStatus status;
+  private TargetLoad load = TargetLoad.NONE;
+  private long loadAtNanos;
+  private int ownAtReport;
+  private int outstanding;
+  private long avoidUntilNanos = Long.MIN_VALUE;
+  private boolean everUsed;
+
+  /** Creates a candidate. */
+  public Candidate(String node, String zone, TargetStatus status) {
+    this.node = node;
+    this.zone = zone;
+    this.status = status;
+  }
+
+  /** Returns the key of the node beside the target. */
+  public String node() {
+    return node;
+  }
+
+  /** Returns the failure domain of the target. */
+  public String zone() {
+    return zone;
+  }
+
+  /** Returns the latest status. */
+  public TargetStatus status() {
+    return status;
+  }
+
+  /** Replaces the status; a new lifetime starts without a load history. */
+  public void status(TargetStatus next) {
+    if (!next.id().equals(status.id()) || next.bornMs() != status.bornMs()) {
+      load = TargetLoad.NONE;
+      everUsed = false;
+      avoidUntilNanos = Long.MIN_VALUE;
+    }
+    status = next;
+  }
+
+  /** Counts a call that this node sends. */
+  public void begin() {
+    outstanding++;
+    everUsed = true;
+  }
+
+  /** Counts the end of a call. */
+  public void end() {
+    outstanding--;
+  }
+
+  /** Takes the load that an answer or a status carried. */
+  public void report(TargetLoad reported, long nowNanos) {
+    load = reported;
+    loadAtNanos = nowNanos;
+    ownAtReport = outstanding;
+  }
+
+  /** Keeps the target out of the choice while others are open. */
+  public void avoidUntil(long untilNanos) {
+    avoidUntilNanos = untilNanos;
+  }
+
+  /** Returns whether the target is to be avoided now. */
+  public boolean avoided(long nowNanos) {
+    return avoidUntilNanos != Long.MIN_VALUE && nowNanos - avoidUntilNanos < 0;
+  }
+
+  /** Returns whether this node has sent a call to the target's lifetime. */
+  public boolean everUsed() {
+    return everUsed;
+  }
+
+  /** Returns the calls of this node that are under way. */
+  public int outstanding() {
+    return outstanding;
+  }
+
+  /** Returns the share of calls that the target fails, from 0 to 1. */
+  public double failureShare() {
+    return load.failurePermille() / 1000.0;
+  }
+
+  /** Returns the smoothed time of a call in the target, 0 when unknown. */
+  public double serviceUs() {
+    return load.serviceUs();
+  }
+
+  /** Returns the estimated calls that the target works on or that wait for it. */
+  public double pending(long nowNanos) {
+    double others = Math.max(0, load.running() + load.queued() - ownAtReport);
+    double ageMs = (nowNanos - loadAtNanos) / 1e6;
+    return outstanding + others * Math.pow(0.5, ageMs / REPORT_HALF_LIFE_MS);
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -0,0 +1,93 @@
+package org.acaciapond.mesh.target;
+
+import java.util.List;
+import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Choice of a target by the time that a call would take there: the calls before it, the speed of
+ * the target, its failures and the distance.
+ */
+public final class TargetChooser {
+
+  private static final double DEFAULT_SERVICE_US = 100_000;
+  // A target that fails a tenth of its calls counts as twice as slow.
+  private static final double FAILURE_WEIGHT = 10;
+  private static final double NOISE_SHARE = 0.05;
+  private static final double AVOIDED_FACTOR = 1000;
+
+  private final String localNode;
+  private final String localZone;
+  private final double otherNodeCostUs;
+  private final double otherZoneCostUs;
+  private final DoubleSupplier random;
+
+  /**
+   * Creates a chooser.
+   *
+   * @param localNode key of this node
+   * @param localZone failure domain of this node
+   * @param otherNodeCostUs time that a call to another node of the domain counts as more
+   * @param otherZoneCostUs time that a call to another domain counts as more
+   * @param random uniform draws from [0, 1)
+   */
+  public TargetChooser(
+      String localNode,
+      String localZone,
+      double otherNodeCostUs,
+      double otherZoneCostUs,
+      DoubleSupplier random) {
+    this.localNode = localNode;
+    this.localZone = localZone;
+    this.otherNodeCostUs = otherNodeCostUs;
+    this.otherZoneCostUs = otherZoneCostUs;
+    this.random = random;
+  }
+
+  /** Returns the candidate with the lowest expected time among those that pass, or null. */
+  public @Nullable Candidate choose(
+      List<Candidate> candidates, Predicate<Candidate> allowed, long nowNanos) {
+    double typicalUs = typicalServiceUs(candidates);
+    Candidate best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (Candidate candidate : candidates) {
+      if (!candidate.status().open() || !allowed.test(candidate)) {
+        continue;
+      }
+      double cost = cost(candidate, typicalUs, nowNanos);
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private double cost(Candidate candidate, double typicalUs, long nowNanos) {
+    int slots = Math.max(1, candidate.status().slots());
+    double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
+    double pending = candidate.pending(nowNanos);
+    // Below the slots a further call waits for none, but a nearly full target may be slower.
+    double waiting = pending < slots ? 0.5 * pending / slots : (pending + 1) / slots;
+    double cost = serviceUs * (1 + waiting);
+    if (!candidate.node().equals(localNode)) {
+      cost += candidate.zone().equals(localZone) ? otherNodeCostUs : otherZoneCostUs;
+    }
+    cost *= 1 + FAILURE_WEIGHT * candidate.failureShare();
+    cost *= 1 + NOISE_SHARE * random.getAsDouble();
+    return candidate.avoided(nowNanos) ? cost * AVOIDED_FACTOR : cost;
+  }
+
+  private static double typicalServiceUs(List<Candidate> candidates) {
+    double sum = 0;
+    int known = 0;
+    for (Candidate candidate : candidates) {
+      if (candidate.serviceUs() > 0) {
+        sum += candidate.serviceUs();
+        known++;
+      }
+    }
+    return known == 0 ? DEFAULT_SERVICE_US : sum / known;
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
@@ -0,0 +1,102 @@
+package org.acaciapond.sidecar;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.acaciapond.adapter.HttpMeshStore;
+import org.acaciapond.adapter.JsonPlatformCodec;
+import org.acaciapond.adapter.SettingsFile;
+import org.acaciapond.common.settings.SettingsException;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.sidecar.telemetry.EventLog;
+
+/** Entry point of the node beside a target. Exit codes: 0 stopped, 2 bad settings, 4 no start. */
+public final class SidecarMain {
+
+  private static final int EXIT_BAD_SETTINGS = 2;
+  private static final int EXIT_NO_START = 4;
+  private static final int MEMORY_SHARE_OF_BODY = 16;
+
+  private SidecarMain() {}
+
+  /** Runs a node until the platform asks it to stop. */
+  public static void main(String[] args) {
+    PrintStream out =
+        new PrintStream(new FileOutputStream(FileDescriptor.out), false, StandardCharsets.UTF_8);
+    TimeSource time = TimeSource.system();
+    SidecarSettings settings;
+    try {
+      String path = System.getenv(SettingsFile.PATH_VARIABLE);
+      settings = SettingsFile.read(Path.of(path == null ? "" : path));
+    } catch (SettingsException e) {
+      System.err.println("acaciapond-sidecar: " + e.getMessage());
+      System.exit(EXIT_BAD_SETTINGS);
+      return;
+    }
+    EventLog log = new EventLog(settings.nodeKey(), out, time);
+    log.start().subscribe().with(done -> {});
+    Vertx vertx = Vertx.vertx(options());
+    int maxBodyBytes = (settings.memoryMb() << 20) / MEMORY_SHARE_OF_BODY;
+    JsonPlatformCodec codec = new JsonPlatformCodec(maxBodyBytes);
+    vertx.runOnContext(
+        on -> {
+          SidecarProcess process =
+              new SidecarProcess(
+                  vertx,
+                  settings,
+                  codec,
+                  new HttpMeshStore(vertx, settings.store(), time),
+                  log,
+                  time);
+          process
+              .start()
+              .subscribe()
+              .with(
+                  done -> stopOnSignal(vertx, process, log),
+                  error -> {
+                    log.event("no_start", "error", error.getMessage());
+                    log.stop().subscribe().with(done -> {});
+                    Runtime.getRuntime().halt(EXIT_NO_START);
+                  });
+        });
+  }
+
+  private static VertxOptions options() {
+    return new VertxOptions()
+        .setEventLoopPoolSize(1)
+        .setWorkerPoolSize(1)
+        .setInternalBlockingPoolSize(1)
+        .setPreferNativeTransport(false)
+        .setBlockedThreadCheckInterval(60_000)
+        .setFileSystemOptions(
+            new FileSystemOptions()
+                .setClassPathResolvingEnabled(false)
+                .setFileCachingEnabled(false));
+  }
+
+  private static void stopOnSignal(Vertx vertx, SidecarProcess process, EventLog log) {
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  java.util.concurrent.CountDownLatch ended =
+                      new java.util.concurrent.CountDownLatch(1);
+                  vertx.runOnContext(
+                      on -> process.stop().subscribe().with(done -> ended.countDown()));
+                  try {
+                    ended.await();
+                  } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                  }
+                  log.stop().subscribe().with(done -> {});
+                  Runtime.getRuntime().halt(0);
+                },
+                "stop"));
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -0,0 +1,282 @@
+package org.acaciapond.sidecar;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpListener;
+import org.acaciapond.http.ServerLimits;
+import org.acaciapond.mesh.peer.NodeRecord;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.platform.PlatformCodec;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.platform.SocketAddressSetting;
+import org.acaciapond.mesh.retry.RepeatBudget;
+import org.acaciapond.mesh.route.ClientLimits;
+import org.acaciapond.mesh.route.DesiredStateHolder;
+import org.acaciapond.mesh.route.RouteTable;
+import org.acaciapond.mesh.store.MeshStore;
+import org.acaciapond.mesh.store.StoreArea;
+import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.sidecar.call.RequestRouter;
+import org.acaciapond.sidecar.control.ControlEndpoint;
+import org.acaciapond.sidecar.control.StatusEndpoint;
+import org.acaciapond.sidecar.door.TargetDoor;
+import org.acaciapond.sidecar.peer.PeerNetwork;
+import org.acaciapond.sidecar.state.NodeRegistry;
+import org.acaciapond.sidecar.state.OperatorState;
+import org.acaciapond.sidecar.state.StoreFeed;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+
+/** A node: all its parts on one event loop, their start and their orderly stop. */
+public final class SidecarProcess implements ManagedService {
+
+  private static final ServerLimits CONTROL_LIMITS =
+      new ServerLimits(16_384, 65_536, 5_000, 60_000);
+  private static final Duration FEED_WAIT = Duration.ofSeconds(10);
+  // Clients stop to use a machine after two missed readiness questions, one a second.
+  private static final int UNREADY_MS = 2_300;
+  // The platform kills a process at the end of the grace time; requests get five sixths of it.
+  private static final double GRACE_SHARE = 0.9;
+  private static final int STOP_CHECK_MS = 50;
+  private static final int QUIET_MS = 300;
+  private static final int ASK_PEER_DELAY_MS = 300;
+  // Repeats make their targets repeat nested calls, which count at the services called; half of
+  // the contract's ratio is left for them.
+  private static final double OWN_REPEAT_RATIO_SHARE = 0.5;
+  private static final double OWN_SLACK_SHARE = 0.5;
+  private static final double OTHER_NODE_COST_US = 1_000;
+  private static final double OTHER_ZONE_COST_US = 6_000;
+
+  private final Vertx vertx;
+  private final SidecarSettings settings;
+  private final PlatformCodec codec;
+  private final EventLog log;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final DesiredStateHolder states = new DesiredStateHolder();
+  private final OperatorState operator;
+  private final TargetDoor door;
+  private final PeerNetwork network;
+  private final RequestRouter router;
+  private final NodeRegistry registry;
+  private final StoreFeed operatorFeed;
+  private final StoreFeed nodeFeed;
+  private final HttpListener outbound;
+  private final HttpListener ready;
+  private final HttpListener control;
+  private boolean stopping;
+  private boolean readyLogged;
+
+  /** Wires a node. */
+  public SidecarProcess(
+      Vertx vertx,
+      SidecarSettings settings,
+      PlatformCodec codec,
+      MeshStore store,
+      EventLog log,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.codec = codec;
+    this.log = log;
+    this.metrics = new NodeMetrics();
+    this.time = time;
+    DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
+    NodeRecord self =
+        new NodeRecord(
+            settings.nodeKey(),
+            settings.peer().host(),
+            settings.peer().port(),
+            settings.zone(),
+            settings.service(),
+            time.now().toEpochMilli());
+    operator = new OperatorState(codec, states, log, metrics);
+    door = new TargetDoor(vertx, settings, codec.headers(), log, metrics, time);
+    network = new PeerNetwork(vertx, self, door, new States(), log, metrics, random, time);
+    operator.onChange(network::publishStatus);
+    SidecarSettings.Bounds bounds = settings.bounds();
+    RepeatBudget budget =
+        new RepeatBudget(
+            bounds.repeatRatio() * OWN_REPEAT_RATIO_SHARE,
+            bounds.repeatSlack() * OWN_SLACK_SHARE,
+            bounds.repeatWindowMs());
+    TargetChooser chooser =
+        new TargetChooser(self.key(), self.zone(), OTHER_NODE_COST_US, OTHER_ZONE_COST_US, random);
+    router =
+        new RequestRouter(
+            vertx,
+            settings,
+            codec.headers(),
+            states,
+            network,
+            chooser,
+            budget,
+            (service, candidates) -> candidate -> true,
+            log,
+            metrics,
+            random,
+            time);
+    registry = new NodeRegistry(vertx, store, self, network::learn, log, metrics, random);
+    operatorFeed =
+        new StoreFeed(
+            vertx,
+            store,
+            StoreArea.OPERATOR,
+            FEED_WAIT,
+            rows -> operator.apply(rows, "store"),
+            log,
+            metrics,
+            random);
+    nodeFeed =
+        new StoreFeed(
+            vertx, store, StoreArea.NODES, FEED_WAIT, registry::apply, log, metrics, random);
+    ControlEndpoint controlEndpoint = new ControlEndpoint(codec, door, log, metrics);
+    StatusEndpoint statusEndpoint =
+        new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
+    outbound = listener(settings.outbound(), this::clientLimits, router::handle);
+    control = listener(settings.control(), () -> CONTROL_LIMITS, controlEndpoint::handle);
+    ready = listener(settings.ready(), () -> CONTROL_LIMITS, statusEndpoint::handle);
+  }
+
+  private HttpListener listener(
+      SocketAddressSetting address,
+      java.util.function.Supplier<ServerLimits> limits,
+      java.util.function.Consumer<org.acaciapond.http.HttpExchange> handler) {
+    return new HttpListener(
+        vertx, address.host(), address.port(), limits, handler, new ListenerEvents(), time);
+  }
+
+  private ServerLimits clientLimits() {
+    RouteTable table = states.current();
+    ClientLimits limits = table == null ? ClientLimits.DEFAULT : table.state().limits();
+    return new ServerLimits(
+        limits.maxHeaderBytes(),
+        limits.maxBodyBytes(),
+        limits.headerTimeoutMs(),
+        limits.idleTimeoutMs());
+  }
+
+  private boolean isReady() {
+    boolean now = !stopping && states.current() != null && network.connectedToAny();
+    if (now && !readyLogged) {
+      readyLogged = true;
+      log.event("ready", "state_version", states.version(), "nodes", network.knownNodes());
+    }
+    return now;
+  }
+
+  @Override
+  public Uni<Void> start() {
+    log.event(
+        "start",
+        "zone",
+        settings.zone(),
+        "service",
+        settings.service(),
+        "outbound",
+        settings.outbound().port(),
+        "peer",
+        settings.peer().port());
+    operatorFeed.start();
+    nodeFeed.start();
+    return Uni.join()
+        .all(List.of(control.start(), network.start(), outbound.start(), ready.start()))
+        .andFailFast()
+        .replaceWithVoid();
+  }
+
+  /**
+   * Ends the node without cutting requests: it turns unready, serves until clients have left it,
+   * waits for what is under way, and then closes.
+   */
+  @Override
+  public Uni<Void> stop() {
+    if (stopping) {
+      return Uni.createFrom().voidItem();
+    }
+    stopping = true;
+    log.event("stop", "open", router.open(), "at_target", door.pending());
+    door.nodeLeaves();
+    outbound.closeConnectionsAfterAnswers();
+    long startNanos = time.nanoTime();
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              long[] quietSinceNanos = {startNanos};
+              vertx.setPeriodic(
+                  STOP_CHECK_MS,
+                  id -> {
+                    long nowNanos = time.nanoTime();
+                    if (router.open() > 0 || door.pending() > 0) {
+                      quietSinceNanos[0] = nowNanos;
+                    }
+                    long sinceMs = (nowNanos - startNanos) / 1_000_000;
+                    long quietMs = (nowNanos - quietSinceNanos[0]) / 1_000_000;
+                    boolean quiet = sinceMs > UNREADY_MS && quietMs > QUIET_MS;
+                    if (quiet || sinceMs > settings.bounds().graceMs() * GRACE_SHARE) {
+                      vertx.cancelTimer(id);
+                      log.event("stopped", "open", router.open(), "after_ms", sinceMs);
+                      emitter.complete(null);
+                    }
+                  });
+            });
+  }
+
+  /** Exchange of the desired state with peers. */
+  private final class States implements PeerNetwork.StateExchange {
+    @Override
+    public long stateVersion() {
+      return states.version();
+    }
+
+    @Override
+    public List<PeerMessage.HeldRow> rows() {
+      return operator.held();
+    }
+
+    @Override
+    public void peerHolds(long version, Runnable ask) {
+      if (version <= states.version()) {
+        return;
+      }
+      // The store tells most nodes at the same moment; only what it does not tell is asked for.
+      long delayMs = states.current() == null ? 1 : ASK_PEER_DELAY_MS;
+      vertx.setTimer(
+          delayMs,
+          id -> {
+            if (version > states.version()) {
+              ask.run();
+            }
+          });
+    }
+
+    @Override
+    public void accept(List<PeerMessage.HeldRow> rows) {
+      operator.apply(
+          rows.stream()
+              .map(row -> new StoreRow(row.key(), row.value(), row.rowVersion(), false))
+              .toList(),
+          "peer");
+    }
+  }
+
+  /** Counts what listeners report. */
+  private final class ListenerEvents implements HttpListener.Events {
+    @Override
+    public void rejected(int status, String clientHost) {
+      log.request("request_rejected", "status", status, "client", clientHost);
+    }
+
+    @Override
+    public void connectionFailed(String message) {
+      metrics.request("connection_failed", 0);
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -0,0 +1,166 @@
+package org.acaciapond.sidecar.call;
+
+import io.vertx.core.Vertx;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpAnswer;
+import org.acaciapond.http.HttpExchange;
+import org.acaciapond.mesh.admission.CallClass;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.platform.CallHeaders;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.retry.RepeatBudget;
+import org.acaciapond.mesh.route.DesiredStateHolder;
+import org.acaciapond.mesh.route.Route;
+import org.acaciapond.mesh.route.RouteTable;
+import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.sidecar.peer.PeerNetwork;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+
+/** Takes requests of the clients and of the target beside this node. */
+public final class RequestRouter {
+
+  private static final int NOT_CONFIGURED_RETRY_MS = 250;
+  private static final int DEFAULT_TIMEOUT_MS = 60_000;
+
+  final Vertx vertx;
+  final SidecarSettings settings;
+  final CallHeaders names;
+  final PeerNetwork network;
+  final TargetChooser chooser;
+  final RepeatBudget budget;
+  final VersionFilter versions;
+  final EventLog log;
+  final NodeMetrics metrics;
+  final TimeSource time;
+  private final DesiredStateHolder states;
+  private final DoubleSupplier random;
+  private final Set<RoutedRequest> open = new LinkedHashSet<>();
+
+  /** Creates a router. */
+  public RequestRouter(
+      Vertx vertx,
+      SidecarSettings settings,
+      CallHeaders names,
+      DesiredStateHolder states,
+      PeerNetwork network,
+      TargetChooser chooser,
+      RepeatBudget budget,
+      VersionFilter versions,
+      EventLog log,
+      NodeMetrics metrics,
+      DoubleSupplier random,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.names = names;
+    this.states = states;
+    this.network = network;
+    this.chooser = chooser;
+    this.budget = budget;
+    this.versions = versions;
+    this.log = log;
+    this.metrics = metrics;
+    this.random = random;
+    this.time = time;
+  }
+
+  /** Returns the requests that have no answer yet. */
+  public int open() {
+    return open.size();
+  }
+
+  /** Takes a request. */
+  public void handle(HttpExchange exchange) {
+    RouteTable table = states.current();
+    String id = exchange.header(names.callId());
+    if (table == null) {
+      refuse(exchange, id, Reason.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_MS);
+      return;
+    }
+    String host = exchange.header("host");
+    Route route = host == null ? null : table.match(host, exchange.uri());
+    if (route == null) {
+      end(exchange, id, 404, "no_route", "state_version", table.version());
+      return;
+    }
+    if (id == null || id.isEmpty()) {
+      end(exchange, id, 400, "no_id", "route", route.name());
+      return;
+    }
+    int clientTimeoutMs = timeoutMs(exchange.header(names.timeoutMs()));
+    int limitMs = Math.min(clientTimeoutMs, route.timeoutMs());
+    boolean nested = exchange.clientHost().equals(settings.target().host());
+    String service = route.serviceFor(random.getAsDouble());
+    RoutedRequest request =
+        new RoutedRequest(
+            this,
+            exchange,
+            id,
+            route,
+            service,
+            limitMs,
+            nested ? CallClass.RANK_NESTED : route.priority());
+    open.add(request);
+    budget.request(service, time.nanoTime());
+    request.start();
+  }
+
+  private static int timeoutMs(@org.jspecify.annotations.Nullable String header) {
+    if (header == null) {
+      return DEFAULT_TIMEOUT_MS;
+    }
+    try {
+      return Math.max(0, Integer.parseInt(header.trim()));
+    } catch (NumberFormatException e) {
+      return DEFAULT_TIMEOUT_MS;
+    }
+  }
+
+  void ended(RoutedRequest request) {
+    open.remove(request);
+  }
+
+  private void end(
+      HttpExchange exchange,
+      @org.jspecify.annotations.Nullable String id,
+      int status,
+      String end,
+      String field,
+      Object value) {
+    metrics.request(end, time.nanoTime() - exchange.receivedNanos());
+    log.request(
+        "request_ended",
+        "id",
+        id,
+        "end",
+        end,
+        "status",
+        status,
+        "uri",
+        exchange.uri(),
+        field,
+        value);
+    exchange.answer(HttpAnswer.empty(status, List.of()));
+  }
+
+  private void refuse(
+      HttpExchange exchange,
+      @org.jspecify.annotations.Nullable String id,
+      Reason reason,
+      int retryAfterMs) {
+    String end = "refused_" + reason.name().toLowerCase(Locale.ROOT);
+    metrics.request(end, time.nanoTime() - exchange.receivedNanos());
+    log.request("request_ended", "id", id, "end", end, "status", 503);
+    exchange.answer(HttpAnswer.empty(503, List.of("Retry-After", retryAfter(retryAfterMs))));
+  }
+
+  static String retryAfter(int ms) {
+    return String.format(Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000);
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -0,0 +1,323 @@
+package org.acaciapond.sidecar.call;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.acaciapond.http.HttpAnswer;
+import org.acaciapond.http.HttpExchange;
+import org.acaciapond.http.HttpMessage;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.route.Route;
+import org.acaciapond.mesh.target.Candidate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request between its reading and its answer. It is sent to one target at a time. A refusal of
+ * a node is free to be tried elsewhere; what may have reached a target is repeated only if the
+ * route allows it, within the attempts of the route and the budget of repeats.
+ */
+final class RoutedRequest {
+
+  // Each refusal costs a round trip; with more of them the whole service is most likely full.
+  private static final int MAX_REFUSALS = 3;
+  private static final int NO_TARGET_RETRY_MS = 150;
+  private static final int AVOID_AFTER_REFUSAL_MS = 20;
+  private static final int AVOID_AFTER_FAILURE_MS = 300;
+  // Less time than this does not suffice for another call to a target.
+  private static final int MIN_REPEAT_LEFT_MS = 10;
+
+  private final RequestRouter router;
+  private final HttpExchange exchange;
+  private final String id;
+  private final Route route;
+  private final String service;
+  private final int limitMs;
+  private final long deadlineNanos;
+  private final long objectiveNanos;
+  private final int rank;
+  private final Set<String> tried = new HashSet<>();
+  private @Nullable Candidate current;
+  private @Nullable Runnable giveUp;
+  private @Nullable MeshReply failure;
+  private int sentToTargets;
+  private int refusals;
+  private int retryAfterMs = Integer.MAX_VALUE;
+  private Reason lastReason = Reason.NO_TARGET;
+  private boolean mayHaveRun;
+  private boolean ended;
+  private long timer = -1;
+
+  RoutedRequest(
+      RequestRouter router,
+      HttpExchange exchange,
+      String id,
+      Route route,
+      String service,
+      int limitMs,
+      int rank) {
+    this.router = router;
+    this.exchange = exchange;
+    this.id = id;
+    this.route = route;
+    this.service = service;
+    this.limitMs = limitMs;
+    this.rank = rank;
+    this.deadlineNanos = exchange.receivedNanos() + limitMs * 1_000_000L;
+    int objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
+    this.objectiveNanos = exchange.receivedNanos() + objectiveMs * 1_000_000L;
+  }
+
+  void start() {
+    exchange.onClose(this::clientLeft);
+    int leftMs = leftMs();
+    if (leftMs <= 0) {
+      finish(503, "expired", HttpAnswer.empty(503, List.of("Retry-After", "0")));
+      return;
+    }
+    timer = router.vertx.setTimer(leftMs, timerId -> deadlineReached());
+    next();
+  }
+
+  private int leftMs() {
+    return (int) ((deadlineNanos - router.time.nanoTime()) / 1_000_000);
+  }
+
+  private void next() {
+    int leftMs = leftMs();
+    if (leftMs <= 0) {
+      deadlineReached();
+      return;
+    }
+    List<Candidate> candidates = router.network.candidates(service);
+    Predicate<Candidate> version = router.versions.forRequest(service, candidates);
+    Candidate chosen =
+        router.chooser.choose(
+            candidates,
+            candidate -> !tried.contains(candidate.node()) && version.test(candidate),
+            router.time.nanoTime());
+    if (chosen == null) {
+      endWithoutTarget();
+      return;
+    }
+    tried.add(chosen.node());
+    current = chosen;
+    int objectiveLeftMs = (int) ((objectiveNanos - router.time.nanoTime()) / 1_000_000);
+    MeshCall call =
+        new MeshCall(
+            id,
+            exchange.method(),
+            exchange.uri(),
+            HttpMessage.endToEnd(exchange.headers(), List.of()),
+            exchange.body(),
+            leftMs,
+            objectiveLeftMs,
+            rank,
+            route.name(),
+            router.settings.service(),
+            chosen.status().id(),
+            route.repeatable());
+    boolean[] done = {false};
+    Runnable cancel =
+        router.network.call(
+            chosen,
+            call,
+            reply -> {
+              done[0] = true;
+              if (!ended) {
+                giveUp = null;
+                onReply(chosen, reply);
+              }
+            });
+    if (!done[0]) {
+      giveUp = cancel;
+    }
+  }
+
+  private void onReply(Candidate from, MeshReply reply) {
+    router.metrics.attempt(reply.reason().name().toLowerCase(Locale.ROOT));
+    if (reply.reason() != Reason.NONE) {
+      lastReason = reply.reason();
+      router.log.request(
+          "attempt_failed",
+          "id",
+          id,
+          "route",
+          route.name(),
+          "peer",
+          from.node(),
+          "target",
+          from.status().id(),
+          "outcome",
+          reply.outcome(),
+          "reason",
+          reply.reason(),
+          "running",
+          reply.load().running(),
+          "queued",
+          reply.load().queued(),
+          "left_ms",
+          leftMs());
+    }
+    switch (reply.outcome()) {
+      case ANSWERED -> onAnswer(reply);
+      case REFUSED -> onRefusal(from, reply);
+      case NOT_RUN -> {
+        sentToTargets++;
+        avoid(from, AVOID_AFTER_FAILURE_MS);
+        retryAfterMs = Math.min(retryAfterMs, reply.retryAfterMs());
+        if (mayRepeat()) {
+          next();
+        } else {
+          endWithoutTarget();
+        }
+      }
+      case UNKNOWN -> {
+        sentToTargets++;
+        mayHaveRun = true;
+        avoid(from, AVOID_AFTER_FAILURE_MS);
+        if (route.repeatable() && mayRepeat()) {
+          next();
+        } else {
+          endWithoutTarget();
+        }
+      }
+    }
+  }
+
+  private void avoid(Candidate candidate, int ms) {
+    candidate.avoidUntil(router.time.nanoTime() + ms * 1_000_000L);
+  }
+
+  private void onAnswer(MeshReply reply) {
+    sentToTargets++;
+    if (reply.status() >= 500 && reply.status() != 504 && route.repeatable()) {
+      mayHaveRun = true;
+      failure = reply;
+      if (mayRepeat()) {
+        next();
+        return;
+      }
+    }
+    pass(reply);
+  }
+
+  private void pass(MeshReply reply) {
+    finish(
+        reply.status(),
+        reply.status() < 500 ? "answered" : "target_failed",
+        new HttpAnswer(reply.status(), reply.headers(), reply.body()));
+  }
+
+  private void onRefusal(Candidate from, MeshReply reply) {
+    refusals++;
+    retryAfterMs = Math.min(retryAfterMs, reply.retryAfterMs());
+    if (reply.reason() == Reason.FULL) {
+      avoid(from, AVOID_AFTER_REFUSAL_MS);
+    } else if (reply.reason() == Reason.UNREACHABLE) {
+      avoid(from, AVOID_AFTER_FAILURE_MS);
+    }
+    if (refusals >= MAX_REFUSALS && reply.reason() == Reason.FULL) {
+      endWithoutTarget();
+    } else {
+      next();
+    }
+  }
+
+  // The first send to a target is free, each further one draws on the budget.
+  private boolean mayRepeat() {
+    if (sentToTargets >= route.maxAttempts() || leftMs() < MIN_REPEAT_LEFT_MS) {
+      return false;
+    }
+    boolean allowed =
+        router.budget.tryRepeat(service, router.network.knownNodes(), router.time.nanoTime());
+    router.metrics.repeat(allowed);
+    return allowed;
+  }
+
+  private void endWithoutTarget() {
+    MeshReply failed = failure;
+    if (failed != null) {
+      pass(failed);
+    } else if (mayHaveRun) {
+      finish(502, end("failed"), HttpAnswer.empty(502, List.of()));
+    } else {
+      int afterMs = retryAfterMs == Integer.MAX_VALUE ? NO_TARGET_RETRY_MS : retryAfterMs;
+      finish(
+          503,
+          end("refused"),
+          HttpAnswer.empty(503, List.of("Retry-After", RequestRouter.retryAfter(afterMs))));
+    }
+  }
+
+  private String end(String how) {
+    return how + "_" + lastReason.name().toLowerCase(Locale.ROOT);
+  }
+
+  private void deadlineReached() {
+    Runnable cancel = giveUp;
+    giveUp = null;
+    if (failure != null && cancel == null) {
+      endWithoutTarget();
+      return;
+    }
+    int status = cancel != null || mayHaveRun ? 504 : 503;
+    finish(status, "deadline", HttpAnswer.empty(status, List.of()));
+    if (cancel != null) {
+      cancel.run();
+    }
+  }
+
+  private void clientLeft() {
+    Runnable cancel = giveUp;
+    giveUp = null;
+    finish(0, "client_left", null);
+    if (cancel != null) {
+      cancel.run();
+    }
+  }
+
+  private void finish(int status, String end, @Nullable HttpAnswer answer) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    router.vertx.cancelTimer(timer);
+    router.ended(this);
+    long nanos = router.time.nanoTime() - exchange.receivedNanos();
+    router.metrics.request(end, nanos);
+    if (!end.equals("answered")) {
+      Candidate last = current;
+      router.log.request(
+          "request_ended",
+          "id",
+          id,
+          "end",
+          end,
+          "status",
+          status,
+          "route",
+          route.name(),
+          "rank",
+          rank,
+          "service",
+          service,
+          "limit_ms",
+          limitMs,
+          "after_ms",
+          nanos / 1_000_000,
+          "sent",
+          sentToTargets,
+          "refusals",
+          refusals,
+          "last_peer",
+          last == null ? "" : last.node());
+    }
+    if (answer != null) {
+      exchange.answer(answer);
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/control/package-info.java
@@ -0,0 +1,5 @@
+/** Check-ins, readiness and metrics. */
+@NullMarked
+package org.acaciapond.sidecar.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -0,0 +1,438 @@
+package org.acaciapond.sidecar.door;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.ClientConnection;
+import org.acaciapond.http.ClientRequest;
+import org.acaciapond.http.HttpAnswer;
+import org.acaciapond.http.HttpMessage;
+import org.acaciapond.mesh.admission.CallClass;
+import org.acaciapond.mesh.admission.DoorQueue;
+import org.acaciapond.mesh.admission.Offer;
+import org.acaciapond.mesh.admission.ServiceTimes;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.platform.CallHeaders;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.target.CheckIn;
+import org.acaciapond.mesh.target.Phase;
+import org.acaciapond.mesh.target.TargetLifecycle;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The only way to the target beside the node. It alone decides what reaches the target, so what the
+ * target announced to this node holds whatever other nodes believe.
+ */
+public final class TargetDoor {
+
+  private static final double FAILURE_SMOOTHING = 0.05;
+  private static final int DEADLINE_GRACE_MS = 100;
+  private static final int CLOSED_RETRY_AFTER_MS = 100;
+  private static final int SWEEP_INTERVAL_MS = 1_000;
+
+  private final Vertx vertx;
+  private final CallHeaders names;
+  private final EventLog log;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final String service;
+  private final TargetLifecycle lifecycle = new TargetLifecycle();
+  private final ServiceTimes times = new ServiceTimes();
+  private final DoorQueue<DoorCall> queue = new DoorQueue<>(times);
+  private final TargetConnections connections;
+  private final List<String> systemHeaders;
+  private Consumer<TargetStatus> onStatus = status -> {};
+  private double failureShare;
+  private boolean nodeLeaving;
+  private long statusNumber;
+
+  /** One call at the door. */
+  public final class DoorCall {
+    private final MeshCall call;
+    private final Consumer<MeshReply> done;
+    private final long deadlineNanos;
+    private final boolean repeatable;
+    private @Nullable ClientConnection connection;
+    private long sentNanos;
+    private boolean running;
+    private boolean ended;
+    private long timer = -1;
+
+    DoorCall(MeshCall call, Consumer<MeshReply> done, long deadlineNanos) {
+      this.call = call;
+      this.done = done;
+      this.deadlineNanos = deadlineNanos;
+      this.repeatable = call.repeatable();
+    }
+
+    /** Gives the call up: it leaves the queue, or its connection to the target is closed. */
+    public void cancel() {
+      if (ended) {
+        return;
+      }
+      if (!running) {
+        queue.cancel(this);
+        end(MeshReply.without(Outcome.REFUSED, Reason.CANCELLED, 0, load()));
+        return;
+      }
+      ClientConnection used = connection;
+      if (used != null) {
+        used.abandon();
+      }
+      end(MeshReply.without(Outcome.UNKNOWN, Reason.CANCELLED, 0, load()));
+    }
+
+    private void end(MeshReply reply) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      vertx.cancelTimer(timer);
+      if (running) {
+        running = false;
+        apply(queue.release(time.nanoTime()));
+      }
+      done.accept(reply);
+    }
+  }
+
+  /** Creates a door that is shut until the target checks in. */
+  public TargetDoor(
+      Vertx vertx,
+      SidecarSettings settings,
+      CallHeaders names,
+      EventLog log,
+      NodeMetrics metrics,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.names = names;
+    this.log = log;
+    this.metrics = metrics;
+    this.time = time;
+    this.service = settings.service();
+    this.connections = new TargetConnections(vertx, settings.target(), metrics, time);
+    this.systemHeaders = List.of(names.timeoutMs(), names.targetId(), names.callerService());
+    vertx.setPeriodic(SWEEP_INTERVAL_MS, id -> connections.sweep());
+  }
+
+  /** Sets who is told of changes of the target's status. */
+  public void onStatus(Consumer<TargetStatus> listener) {
+    onStatus = listener;
+  }
+
+  /** Applies a check-in of the target. */
+  public void checkIn(CheckIn checkIn) {
+    if (!checkIn.service().equals(service)) {
+      metrics.checkIn("other_service");
+      log.event("check_in_ignored", "id", checkIn.id(), "service", checkIn.service());
+      return;
+    }
+    CheckIn before = lifecycle.latest();
+    Phase phaseBefore = lifecycle.phase();
+    boolean changed = lifecycle.accept(checkIn);
+    metrics.checkIn(changed ? "changed" : "same");
+    if (!changed) {
+      return;
+    }
+    CheckIn held = lifecycle.latest();
+    if (held == null) {
+      return;
+    }
+    if (before == null || before.bornMs() != held.bornMs()) {
+      connections.closeIdle();
+      times.clear();
+      failureShare = 0;
+    }
+    log.event(
+        "target_status",
+        "id",
+        held.id(),
+        "born_ms",
+        held.bornMs(),
+        "sequence",
+        held.sequence(),
+        "version",
+        held.version(),
+        "slots",
+        held.slots(),
+        "from",
+        phaseBefore,
+        "to",
+        lifecycle.phase());
+    statusChanged();
+  }
+
+  /** Applies a deregistration of the target. */
+  public void leave(String id, long bornMs) {
+    boolean changed = lifecycle.deregister(id, bornMs);
+    metrics.checkIn("leave");
+    log.event("target_left", "id", id, "born_ms", bornMs, "held", changed);
+    if (changed) {
+      statusChanged();
+    }
+  }
+
+  /** Tells the others that this node shuts down. */
+  public void nodeLeaves() {
+    nodeLeaving = true;
+    statusChanged();
+  }
+
+  /** Refuses everything that has not reached the target. */
+  public void shut() {
+    queue.slots(0);
+    refuseQueue();
+  }
+
+  private void statusChanged() {
+    statusNumber++;
+    CheckIn held = lifecycle.latest();
+    boolean open = lifecycle.phase() == Phase.READY && held != null;
+    queue.slots(open && held != null ? held.slots() : 0);
+    if (open) {
+      apply(queue.fill(time.nanoTime()));
+    } else {
+      refuseQueue();
+    }
+    onStatus.accept(status());
+  }
+
+  private void refuseQueue() {
+    for (DoorCall waiting : queue.drainQueue()) {
+      waiting.end(refused(Reason.CLOSED, CLOSED_RETRY_AFTER_MS));
+    }
+  }
+
+  /** Returns the status for other nodes. */
+  public TargetStatus status() {
+    CheckIn held = lifecycle.latest();
+    if (held == null) {
+      return new TargetStatus("", 0, service, "", lifecycle.phase(), 0, nodeLeaving, statusNumber);
+    }
+    return new TargetStatus(
+        held.id(),
+        held.bornMs(),
+        service,
+        held.version(),
+        lifecycle.phase(),
+        held.slots(),
+        nodeLeaving,
+        statusNumber);
+  }
+
+  /** Returns the present load. */
+  public TargetLoad load() {
+    return new TargetLoad(
+        queue.running(),
+        queue.queued(),
+        (int) times.overallUs(),
+        (int) Math.round(failureShare * 1000));
+  }
+
+  /** Returns the calls that run or wait. */
+  public int pending() {
+    return queue.running() + queue.queued();
+  }
+
+  /** Takes a call; its reply follows exactly once, maybe at once. */
+  public DoorCall call(MeshCall call, Consumer<MeshReply> done) {
+    long nowNanos = time.nanoTime();
+    long deadlineNanos = nowNanos + call.leftMs() * 1_000_000L;
+    DoorCall doorCall = new DoorCall(call, done, deadlineNanos);
+    Reason closed = closedReason(call);
+    if (closed != null) {
+      doorCall.end(refused(closed, CLOSED_RETRY_AFTER_MS));
+      return doorCall;
+    }
+    if (call.leftMs() <= 0) {
+      doorCall.end(refused(Reason.EXPIRED, 0));
+      return doorCall;
+    }
+    doorCall.timer = vertx.setTimer(call.leftMs() + DEADLINE_GRACE_MS, id -> expire(doorCall));
+    CallClass type =
+        new CallClass(
+            call.route(),
+            call.rank(),
+            nowNanos + call.objectiveLeftMs() * 1_000_000L,
+            deadlineNanos);
+    Offer<DoorCall> offer = queue.offer(doorCall, type, nowNanos);
+    for (DoorCall evicted : offer.evicted()) {
+      evicted.end(refused(Reason.FULL, queue.retryAfterMs()));
+    }
+    switch (offer.decision()) {
+      case RUN -> run(doorCall);
+      case REFUSE -> doorCall.end(refused(Reason.FULL, offer.retryAfterMs()));
+      case WAIT -> {
+        // Ends when a slot is freed, at its deadline or when it is cancelled.
+      }
+    }
+    return doorCall;
+  }
+
+  private @Nullable Reason closedReason(MeshCall call) {
+    CheckIn held = lifecycle.latest();
+    if (held == null || lifecycle.phase() != Phase.READY) {
+      return Reason.CLOSED;
+    }
+    return held.id().equals(call.targetId()) ? null : Reason.OTHER_TARGET;
+  }
+
+  private void expire(DoorCall call) {
+    if (!call.running) {
+      queue.cancel(call);
+      call.end(refused(Reason.EXPIRED, 0));
+      return;
+    }
+    ClientConnection used = call.connection;
+    if (used != null) {
+      used.abandon();
+    }
+    call.end(MeshReply.without(Outcome.UNKNOWN, Reason.EXPIRED, 0, load()));
+  }
+
+  private void apply(DoorQueue.Released<DoorCall> released) {
+    for (DoorCall refused : released.refused()) {
+      refused.end(refused(Reason.EXPIRED, 0));
+    }
+    for (DoorCall next : released.run()) {
+      run(next);
+    }
+  }
+
+  private MeshReply refused(Reason reason, int retryAfterMs) {
+    return MeshReply.without(Outcome.REFUSED, reason, retryAfterMs, load());
+  }
+
+  private void run(DoorCall call) {
+    call.running = true;
+    connections.take(
+        call.repeatable,
+        connection -> send(call, connection),
+        error -> {
+          failed();
+          log.event("target_unreachable", "error", error.getMessage());
+          call.end(refused(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
+        });
+  }
+
+  private void send(DoorCall doorCall, ClientConnection connection) {
+    long nowNanos = time.nanoTime();
+    int leftMs = (int) ((doorCall.deadlineNanos - nowNanos) / 1_000_000);
+    if (doorCall.ended || leftMs <= 0) {
+      connections.put(connection);
+      doorCall.end(refused(Reason.EXPIRED, 0));
+      return;
+    }
+    Reason closed = closedReason(doorCall.call);
+    if (closed != null) {
+      connections.put(connection);
+      doorCall.end(refused(closed, CLOSED_RETRY_AFTER_MS));
+      return;
+    }
+    MeshCall call = doorCall.call;
+    List<String> headers = new ArrayList<>(HttpMessage.endToEnd(call.headers(), systemHeaders));
+    add(headers, names.timeoutMs(), Integer.toString(leftMs));
+    add(headers, names.targetId(), call.targetId());
+    add(headers, names.callerService(), call.callerService());
+    doorCall.connection = connection;
+    doorCall.sentNanos = nowNanos;
+    connection.send(
+        new ClientRequest(
+            call.method(), call.uri(), headers, call.body(), answer -> belongs(call, answer)),
+        new ClientConnection.Listener() {
+          @Override
+          public void answered(HttpAnswer answer) {
+            connections.put(connection);
+            onAnswer(doorCall, answer);
+          }
+
+          @Override
+          public void failed(boolean badAnswer, String message) {
+            onFailure(doorCall, badAnswer, message);
+          }
+        });
+  }
+
+  private static void add(List<String> headers, String name, String value) {
+    headers.add(name);
+    headers.add(value);
+  }
+
+  private boolean belongs(MeshCall call, List<String> answer) {
+    String id = HttpMessage.header(answer, names.callId());
+    return id == null || id.equals(call.id());
+  }
+
+  private void onAnswer(DoorCall doorCall, HttpAnswer answer) {
+    long runNanos = time.nanoTime() - doorCall.sentNanos;
+    MeshCall call = doorCall.call;
+    boolean signed = HttpMessage.header(answer.headers(), names.signature()) != null;
+    boolean notRun = HttpMessage.header(answer.headers(), names.notRun()) != null;
+    if (notRun || answer.status() == 421) {
+      failed();
+      metrics.targetTime("not_run", runNanos);
+      log.request("target_refused", "id", call.id(), "status", answer.status());
+      doorCall.end(
+          MeshReply.without(Outcome.NOT_RUN, Reason.TURNED_AWAY, queue.retryAfterMs(), load()));
+      return;
+    }
+    boolean encoded = HttpMessage.header(answer.headers(), "content-encoding") != null;
+    boolean success = answer.status() < 300;
+    if (encoded || (success && !signed)) {
+      failed();
+      log.request("bad_answer", "id", call.id(), "status", answer.status(), "signed", signed);
+      doorCall.end(MeshReply.without(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
+      return;
+    }
+    failureShare += FAILURE_SMOOTHING * ((answer.status() >= 500 ? 1 : 0) - failureShare);
+    if (success) {
+      times.add(call.route(), runNanos / 1e3);
+    }
+    metrics.targetTime(success ? "ok" : "status_" + answer.status(), runNanos);
+    doorCall.end(
+        new MeshReply(
+            Outcome.ANSWERED,
+            Reason.NONE,
+            0,
+            answer.status(),
+            HttpMessage.endToEnd(answer.headers(), List.of()),
+            answer.body(),
+            (int) Math.min(Integer.MAX_VALUE, runNanos / 1_000),
+            load()));
+  }
+
+  private void onFailure(DoorCall doorCall, boolean badAnswer, String message) {
+    if (doorCall.ended) {
+      return;
+    }
+    failed();
+    long runNanos = time.nanoTime() - doorCall.sentNanos;
+    metrics.targetTime("broken", runNanos);
+    log.request(
+        "target_broke",
+        "id",
+        doorCall.call.id(),
+        "after_ms",
+        runNanos / 1_000_000,
+        "bad_answer",
+        badAnswer,
+        "error",
+        message);
+    doorCall.end(
+        MeshReply.without(
+            Outcome.UNKNOWN, badAnswer ? Reason.BAD_ANSWER : Reason.BROKEN, 0, load()));
+  }
+
+  private void failed() {
+    failureShare += FAILURE_SMOOTHING * (1 - failureShare);
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/package-info.java
@@ -0,0 +1,5 @@
+/** The target beside the node: its life, its slots and its connections. */
+@NullMarked
+package org.acaciapond.sidecar.door;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -0,0 +1,200 @@
+package org.acaciapond.sidecar.peer;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.peer.NodeRecord;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.jspecify.annotations.Nullable;
+
+/** This node's connection to one other node, made again whenever it ends or falls silent. */
+final class PeerLink {
+
+  private static final int PING_AFTER_MS = 500;
+  // Three unanswered pings; a machine under full load still answers well within this time.
+  private static final int SILENT_MS = 1_500;
+  private static final int MIN_BACKOFF_MS = 50;
+  private static final int MAX_BACKOFF_MS = 1_000;
+
+  private final Vertx vertx;
+  private final NetClient client;
+  private final TimeSource time;
+  private final DoubleSupplier random;
+  private final Listener listener;
+  private final Map<Long, Consumer<MeshReply>> calls = new HashMap<>();
+  private NodeRecord node;
+  private @Nullable PeerSocket socket;
+  private boolean connecting;
+  private boolean stopped;
+  private int backoffMs = MIN_BACKOFF_MS;
+  private long nextNumber;
+
+  /** Receives what happens on a link. */
+  interface Listener {
+    void connected(PeerLink link);
+
+    void disconnected(PeerLink link, String reason);
+
+    void received(PeerLink link, PeerMessage message);
+  }
+
+  PeerLink(
+      Vertx vertx,
+      NetClient client,
+      NodeRecord node,
+      Listener listener,
+      DoubleSupplier random,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.client = client;
+    this.node = node;
+    this.listener = listener;
+    this.random = random;
+    this.time = time;
+  }
+
+  NodeRecord node() {
+    return node;
+  }
+
+  /** Takes a newer record; a new address takes effect at the next connection. */
+  void node(NodeRecord newer) {
+    boolean moved = !newer.host().equals(node.host()) || newer.port() != node.port();
+    node = newer;
+    PeerSocket held = socket;
+    if (moved && held != null) {
+      held.close();
+    }
+  }
+
+  boolean connected() {
+    return socket != null;
+  }
+
+  void connect() {
+    if (connecting || stopped || socket != null) {
+      return;
+    }
+    connecting = true;
+    client
+        .connect(node.port(), node.host())
+        .onSuccess(
+            connected -> {
+              connecting = false;
+              PeerSocket created =
+                  new PeerSocket(
+                      (NetSocketInternal) connected,
+                      time,
+                      (from, message) -> onMessage(message),
+                      this::onClose,
+                      problem -> listener.disconnected(this, problem));
+              socket = created;
+              backoffMs = MIN_BACKOFF_MS;
+              listener.connected(this);
+            })
+        .onFailure(
+            error -> {
+              connecting = false;
+              reconnectLater();
+            });
+  }
+
+  /** Tries at once, for example because the other node has just been heard. */
+  void wake() {
+    backoffMs = MIN_BACKOFF_MS;
+    connect();
+  }
+
+  private void reconnectLater() {
+    if (!stopped) {
+      long delayMs = Math.max(1, (long) (backoffMs * (0.5 + random.getAsDouble())));
+      backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+      vertx.setTimer(delayMs, id -> connect());
+    }
+  }
+
+  private void onMessage(PeerMessage message) {
+    if (message instanceof PeerMessage.Reply reply) {
+      Consumer<MeshReply> done = calls.remove(reply.number());
+      if (done != null) {
+        done.accept(reply.reply());
+      }
+    } else if (!(message instanceof PeerMessage.Pong)) {
+      listener.received(this, message);
+    }
+  }
+
+  private void onClose(PeerSocket ended) {
+    if (socket == ended) {
+      socket = null;
+      listener.disconnected(this, "closed");
+      List<Consumer<MeshReply>> lost = new ArrayList<>(calls.values());
+      calls.clear();
+      lost.forEach(done -> done.accept(broken()));
+      reconnectLater();
+    }
+  }
+
+  private static MeshReply broken() {
+    return MeshReply.without(Outcome.UNKNOWN, Reason.BROKEN, 0, TargetLoad.NONE);
+  }
+
+  void send(PeerMessage message) {
+    PeerSocket held = socket;
+    if (held != null) {
+      held.send(message);
+    }
+  }
+
+  /** Sends a call and returns how to give it up. */
+  Runnable call(MeshCall call, Consumer<MeshReply> done) {
+    PeerSocket held = socket;
+    if (held == null) {
+      done.accept(MeshReply.without(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
+      return () -> {};
+    }
+    long number = nextNumber++;
+    calls.put(number, done);
+    held.send(new PeerMessage.Call(number, call));
+    return () -> {
+      if (calls.remove(number) != null) {
+        held.send(new PeerMessage.Cancel(number));
+      }
+    };
+  }
+
+  /** Asks for a sign of life, or ends a connection that gave none for too long. */
+  void check() {
+    PeerSocket held = socket;
+    if (held == null) {
+      return;
+    }
+    long silentMs = held.silentMs();
+    if (silentMs > SILENT_MS) {
+      held.close();
+      onClose(held);
+    } else if (silentMs > PING_AFTER_MS) {
+      held.send(new PeerMessage.Ping(0));
+    }
+  }
+
+  void stop() {
+    stopped = true;
+    PeerSocket held = socket;
+    if (held != null) {
+      held.close();
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -0,0 +1,353 @@
+package org.acaciapond.sidecar.peer;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.peer.NodeRecord;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.mesh.target.Phase;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.sidecar.door.TargetDoor;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
+
+/** All other nodes: connections to and from them, their targets, and calls to those. */
+public final class PeerNetwork implements ManagedService {
+
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int CHECK_INTERVAL_MS = 250;
+
+  /** What peers hold and tell of the desired state. */
+  public interface StateExchange {
+    /** Returns the version of the desired state in force, -1 for none. */
+    long stateVersion();
+
+    /** Returns the operator's rows that this node holds. */
+    List<PeerMessage.HeldRow> rows();
+
+    /** A peer holds a version; its rows can be asked for. */
+    void peerHolds(long version, Runnable ask);
+
+    /** A peer sent rows. */
+    void accept(List<PeerMessage.HeldRow> rows);
+  }
+
+  private final Vertx vertx;
+  private final NodeRecord self;
+  private final TargetDoor door;
+  private final StateExchange states;
+  private final EventLog log;
+  private final NodeMetrics metrics;
+  private final TimeSource time;
+  private final DoubleSupplier random;
+  private final NetClient client;
+  private final Map<String, PeerLink> links = new LinkedHashMap<>();
+  private final Map<PeerSocket, Inbound> inbound = new HashMap<>();
+  private final Map<String, Candidate> candidates = new LinkedHashMap<>();
+  private volatile Map<String, List<Candidate>> byService = Map.of();
+  private @Nullable NetServer server;
+  private long timer = -1;
+
+  /** Connection that another node made, with the calls that it runs here. */
+  private static final class Inbound {
+    final Map<Long, TargetDoor.DoorCall> calls = new HashMap<>();
+    String key = "";
+  }
+
+  /** Creates the network of a node. */
+  public PeerNetwork(
+      Vertx vertx,
+      NodeRecord self,
+      TargetDoor door,
+      StateExchange states,
+      EventLog log,
+      NodeMetrics metrics,
+      DoubleSupplier random,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.self = self;
+    this.door = door;
+    this.states = states;
+    this.log = log;
+    this.metrics = metrics;
+    this.random = random;
+    this.time = time;
+    this.client =
+        vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+    door.onStatus(this::ownStatusChanged);
+    candidates.put(self.key(), new Candidate(self.key(), self.zone(), door.status()));
+    index();
+  }
+
+  @Override
+  public Uni<Void> start() {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              NetServer created =
+                  vertx.createNetServer(
+                      new NetServerOptions()
+                          .setHost(self.host())
+                          .setPort(self.port())
+                          .setReuseAddress(true));
+              server = created;
+              created.connectHandler(socket -> accept((NetSocketInternal) socket));
+              timer = vertx.setPeriodic(CHECK_INTERVAL_MS, id -> check());
+              created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
+            });
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    vertx.cancelTimer(timer);
+    links.values().forEach(PeerLink::stop);
+    NetServer running = server;
+    if (running == null) {
+      return Uni.createFrom().voidItem();
+    }
+    return Uni.createFrom()
+        .emitter(emitter -> running.close().onComplete(done -> emitter.complete(null)));
+  }
+
+  /** Takes the record of a node, from the store or from a peer. */
+  public void learn(NodeRecord node) {
+    if (node.key().equals(self.key())) {
+      return;
+    }
+    PeerLink held = links.get(node.key());
+    if (held != null) {
+      if (node.startedMs() >= held.node().startedMs()) {
+        held.node(node);
+      }
+      return;
+    }
+    log.event("node_learned", "peer", node.key(), "host", node.host(), "service", node.service());
+    PeerLink link = new PeerLink(vertx, client, node, new LinkEvents(), random, time);
+    links.put(node.key(), link);
+    link.connect();
+  }
+
+  /** Returns the targets of a service that this node is connected to, its own among them. */
+  public List<Candidate> candidates(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** Returns how many nodes are known, this one among them. */
+  public int knownNodes() {
+    return links.size() + 1;
+  }
+
+  /** Returns whether at least one other node is connected or none is known. */
+  public boolean connectedToAny() {
+    return links.isEmpty() || links.values().stream().anyMatch(PeerLink::connected);
+  }
+
+  /** Sends a call to a target and returns how to give it up. */
+  public Runnable call(Candidate candidate, MeshCall call, Consumer<MeshReply> done) {
+    candidate.begin();
+    Consumer<MeshReply> counted =
+        reply -> {
+          candidate.end();
+          if (reply.load() != TargetLoad.NONE) {
+            candidate.report(reply.load(), time.nanoTime());
+          }
+          done.accept(reply);
+        };
+    if (candidate.node().equals(self.key())) {
+      TargetDoor.DoorCall local = door.call(call, counted);
+      return local::cancel;
+    }
+    PeerLink link = links.get(candidate.node());
+    if (link == null) {
+      counted.accept(MeshReply.without(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
+      return () -> {};
+    }
+    Runnable giveUp = link.call(call, counted);
+    return () -> {
+      giveUp.run();
+      candidate.end();
+    };
+  }
+
+  /** Tells all connected nodes of the own target and the desired state in force. */
+  public void publishStatus() {
+    PeerMessage.Status status = ownStatus();
+    inbound.keySet().forEach(socket -> socket.send(status));
+  }
+
+  private PeerMessage.Status ownStatus() {
+    return new PeerMessage.Status(door.status(), door.load(), states.stateVersion());
+  }
+
+  private void ownStatusChanged(TargetStatus status) {
+    Candidate own = candidates.get(self.key());
+    if (own != null) {
+      own.status(status);
+    }
+    publishStatus();
+  }
+
+  private void accept(NetSocketInternal socket) {
+    PeerSocket peer =
+        new PeerSocket(
+            socket,
+            time,
+            this::onInbound,
+            this::onInboundClosed,
+            problem -> log.event("peer_problem", "error", problem));
+    inbound.put(peer, new Inbound());
+    peer.send(new PeerMessage.Hello(self, states.stateVersion()));
+    peer.send(ownStatus());
+    List<NodeRecord> known = new ArrayList<>();
+    links.values().forEach(link -> known.add(link.node()));
+    peer.send(new PeerMessage.Nodes(known));
+  }
+
+  private void onInbound(PeerSocket socket, PeerMessage message) {
+    Inbound from = inbound.get(socket);
+    if (from == null) {
+      return;
+    }
+    if (message instanceof PeerMessage.Call call) {
+      onCall(socket, from, call);
+    } else if (message instanceof PeerMessage.Cancel cancel) {
+      TargetDoor.DoorCall running = from.calls.remove(cancel.number());
+      if (running != null) {
+        running.cancel();
+      }
+    } else if (message instanceof PeerMessage.Ping ping) {
+      socket.send(new PeerMessage.Pong(ping.number()));
+    } else if (message instanceof PeerMessage.Hello hello) {
+      from.key = hello.node().key();
+      learn(hello.node());
+      PeerLink link = links.get(hello.node().key());
+      if (link != null) {
+        link.wake();
+      }
+    } else if (message instanceof PeerMessage.StateRequest) {
+      socket.send(new PeerMessage.StateRows(states.rows()));
+    }
+  }
+
+  private void onCall(PeerSocket socket, Inbound from, PeerMessage.Call message) {
+    boolean[] ended = {false};
+    TargetDoor.DoorCall call =
+        door.call(
+            message.call(),
+            reply -> {
+              ended[0] = true;
+              from.calls.remove(message.number());
+              socket.send(new PeerMessage.Reply(message.number(), reply));
+            });
+    if (!ended[0]) {
+      from.calls.put(message.number(), call);
+    }
+  }
+
+  private void onInboundClosed(PeerSocket socket) {
+    Inbound from = inbound.remove(socket);
+    if (from != null) {
+      // Nobody waits for these answers any more.
+      new ArrayList<>(from.calls.values()).forEach(TargetDoor.DoorCall::cancel);
+    }
+  }
+
+  private void check() {
+    links.values().forEach(PeerLink::check);
+    metrics.peers((int) links.values().stream().filter(PeerLink::connected).count());
+  }
+
+  private void index() {
+    Map<String, List<Candidate>> next = new HashMap<>();
+    for (Candidate candidate : candidates.values()) {
+      next.computeIfAbsent(candidate.status().service(), service -> new ArrayList<>())
+          .add(candidate);
+    }
+    byService = next;
+  }
+
+  /** What links tell, applied to the view of the mesh. */
+  private final class LinkEvents implements PeerLink.Listener {
+    @Override
+    public void connected(PeerLink link) {
+      link.send(new PeerMessage.Hello(self, states.stateVersion()));
+      log.event("peer_connected", "peer", link.node().key());
+    }
+
+    @Override
+    public void disconnected(PeerLink link, String reason) {
+      log.event("peer_lost", "peer", link.node().key(), "reason", reason);
+      candidates.remove(link.node().key());
+      index();
+    }
+
+    @Override
+    public void received(PeerLink link, PeerMessage message) {
+      if (message instanceof PeerMessage.Status status) {
+        onStatus(link, status);
+      } else if (message instanceof PeerMessage.Hello hello) {
+        if (!hello.node().key().equals(link.node().key())) {
+          // Another machine has the address now.
+          learn(hello.node());
+        } else {
+          link.node(hello.node());
+        }
+        states.peerHolds(hello.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
+      } else if (message instanceof PeerMessage.Nodes nodes) {
+        nodes.nodes().forEach(PeerNetwork.this::learn);
+      } else if (message instanceof PeerMessage.StateRows rows) {
+        states.accept(rows.rows());
+      }
+    }
+
+    private void onStatus(PeerLink link, PeerMessage.Status message) {
+      TargetStatus status = message.status();
+      Candidate held = candidates.get(link.node().key());
+      if (held == null) {
+        held = new Candidate(link.node().key(), link.node().zone(), status);
+        candidates.put(link.node().key(), held);
+        index();
+      } else {
+        boolean otherService = !held.status().service().equals(status.service());
+        held.status(status);
+        if (otherService) {
+          index();
+        }
+      }
+      held.report(message.load(), time.nanoTime());
+      if (status.phase() != Phase.READY || status.nodeLeaving()) {
+        log.event(
+            "peer_target",
+            "peer",
+            link.node().key(),
+            "id",
+            status.id(),
+            "phase",
+            status.phase(),
+            "node_leaving",
+            status.nodeLeaving());
+      }
+      states.peerHolds(message.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -0,0 +1,88 @@
+package org.acaciapond.sidecar.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.peer.PeerCodec;
+import org.acaciapond.mesh.peer.PeerException;
+import org.acaciapond.mesh.peer.PeerMessage;
+
+/** Connection to another node: frames of a length in four bytes and a MessagePack message. */
+final class PeerSocket {
+
+  private static final int MAX_FRAME_BYTES = 64 << 20;
+  private static final int LENGTH_BYTES = 4;
+
+  private final NetSocketInternal socket;
+  private final TimeSource time;
+  private long heardNanos;
+  private boolean closed;
+
+  PeerSocket(
+      NetSocketInternal socket,
+      TimeSource time,
+      BiConsumer<PeerSocket, PeerMessage> onMessage,
+      Consumer<PeerSocket> onClose,
+      Consumer<String> onProblem) {
+    this.socket = socket;
+    this.time = time;
+    this.heardNanos = time.nanoTime();
+    socket
+        .channelHandlerContext()
+        .pipeline()
+        .addBefore(
+            "handler",
+            "frames",
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    socket.messageHandler(
+        message -> {
+          try {
+            if (message instanceof ByteBuf frame && !closed) {
+              heardNanos = time.nanoTime();
+              byte[] bytes = new byte[frame.readableBytes()];
+              frame.readBytes(bytes);
+              onMessage.accept(this, PeerCodec.decode(bytes));
+            }
+          } catch (PeerException e) {
+            onProblem.accept(String.valueOf(e.getMessage()));
+            close();
+          } finally {
+            ReferenceCountUtil.release(message);
+          }
+        });
+    socket.exceptionHandler(error -> onProblem.accept(String.valueOf(error.getMessage())));
+    socket.closeHandler(
+        done -> {
+          closed = true;
+          onClose.accept(this);
+        });
+  }
+
+  void send(PeerMessage message) {
+    if (!closed) {
+      byte[] bytes = PeerCodec.encode(message);
+      socket.write(
+          Buffer.buffer(LENGTH_BYTES + bytes.length).appendInt(bytes.length).appendBytes(bytes));
+    }
+  }
+
+  /** Returns how long nothing was heard, in milliseconds. */
+  long silentMs() {
+    return (time.nanoTime() - heardNanos) / 1_000_000;
+  }
+
+  boolean closed() {
+    return closed;
+  }
+
+  void close() {
+    if (!closed) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -0,0 +1,92 @@
+package org.acaciapond.sidecar.state;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.platform.OperatorFact;
+import org.acaciapond.mesh.platform.PlatformCodec;
+import org.acaciapond.mesh.route.DesiredStateHolder;
+import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+
+/** The operator's rows that this node holds, whoever delivered them. */
+public final class OperatorState {
+
+  private final PlatformCodec codec;
+  private final DesiredStateHolder holder;
+  private final EventLog log;
+  private final NodeMetrics metrics;
+  private final Map<String, StoreRow> rows = new HashMap<>();
+  private Runnable onChange = () -> {};
+
+  /** Creates an empty state. */
+  public OperatorState(
+      PlatformCodec codec, DesiredStateHolder holder, EventLog log, NodeMetrics metrics) {
+    this.codec = codec;
+    this.holder = holder;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Sets what follows a change of the desired state in force. */
+  public void onChange(Runnable listener) {
+    onChange = listener;
+  }
+
+  /** Applies rows; an older version of a row than the one held changes nothing. */
+  public void apply(List<StoreRow> delivered, String source) {
+    for (StoreRow row : delivered) {
+      StoreRow held = rows.get(row.key());
+      if (held == null || row.version() > held.version()) {
+        rows.put(row.key(), row);
+        applyFact(row, source);
+      }
+    }
+  }
+
+  private void applyFact(StoreRow row, String source) {
+    OperatorFact fact = codec.decodeOperatorRow(row);
+    if (fact instanceof OperatorFact.State state) {
+      boolean inForce = holder.offer(state.state());
+      log.event(
+          "desired_state",
+          "version",
+          state.state().version(),
+          "row_version",
+          row.version(),
+          "source",
+          source,
+          "in_force",
+          inForce);
+      if (inForce) {
+        metrics.stateVersion(state.state().version());
+        onChange.run();
+      }
+    } else if (fact instanceof OperatorFact.Unknown unknown) {
+      log.event(
+          "operator_row_ignored",
+          "key",
+          row.key(),
+          "row_version",
+          row.version(),
+          "source",
+          source,
+          "problem",
+          unknown.problem());
+    }
+  }
+
+  /** Returns the rows for a peer. */
+  public List<PeerMessage.HeldRow> held() {
+    List<PeerMessage.HeldRow> held = new ArrayList<>();
+    for (StoreRow row : rows.values()) {
+      if (!row.removed()) {
+        held.add(new PeerMessage.HeldRow(row.key(), row.version(), row.value()));
+      }
+    }
+    return held;
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -0,0 +1,127 @@
+package org.acaciapond.sidecar.telemetry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Counters and histograms of a node. */
+public final class NodeMetrics {
+
+  private static final double[] LATENCY_S = {
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests;
+  private final Counter attempts;
+  private final Counter repeats;
+  private final Counter storeCalls;
+  private final Counter checkIns;
+  private final Counter connections;
+  private final Histogram requestSeconds;
+  private final Histogram targetSeconds;
+  private final Gauge stateVersion;
+  private final Gauge peers;
+  private final Gauge logLinesDropped;
+
+  /** Creates and registers the metrics. */
+  public NodeMetrics() {
+    requests = counter("acaciapond_requests_total", "Requests of clients by end.", "end");
+    attempts = counter("acaciapond_attempts_total", "Calls to nodes by outcome.", "reason");
+    repeats = counter("acaciapond_repeats_total", "Repeats by whether they were allowed.", "use");
+    storeCalls = counter("acaciapond_store_calls_total", "Calls to the store by result.", "result");
+    checkIns = counter("acaciapond_check_ins_total", "Messages of the target by result.", "result");
+    connections =
+        counter("acaciapond_target_connections_total", "New connections to the target.", "result");
+    requestSeconds = histogram("acaciapond_request_seconds", "Time of a request at this node.");
+    targetSeconds = histogram("acaciapond_target_seconds", "Time of a call in the target.");
+    stateVersion = gauge("acaciapond_state_version", "Version of the desired state in force.");
+    peers = gauge("acaciapond_peers_connected", "Nodes that this node has a connection to.");
+    logLinesDropped = gauge("acaciapond_log_lines_dropped", "Log lines that were not written.");
+  }
+
+  private Counter counter(String name, String help, String label) {
+    return Counter.builder().name(name).help(help).labelNames(label).register(registry);
+  }
+
+  private Gauge gauge(String name, String help) {
+    return Gauge.builder().name(name).help(help).register(registry);
+  }
+
+  private Histogram histogram(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .labelNames("end")
+        .classicOnly()
+        .classicUpperBounds(LATENCY_S)
+        .register(registry);
+  }
+
+  /** Counts the end of a client's request. */
+  public void request(String end, long nanos) {
+    requests.labelValues(end).inc();
+    requestSeconds.labelValues(end).observe(nanos / 1e9);
+  }
+
+  /** Counts the end of a call to a node. */
+  public void attempt(String reason) {
+    attempts.labelValues(reason).inc();
+  }
+
+  /** Counts a repeat that the budget allowed or not. */
+  public void repeat(boolean allowed) {
+    repeats.labelValues(allowed ? "allowed" : "denied").inc();
+  }
+
+  /** Counts a call to the store. */
+  public void storeCall(String result) {
+    storeCalls.labelValues(result).inc();
+  }
+
+  /** Counts a message of the target. */
+  public void checkIn(String result) {
+    checkIns.labelValues(result).inc();
+  }
+
+  /** Counts a new connection to the target. */
+  public void targetConnection(String result) {
+    connections.labelValues(result).inc();
+  }
+
+  /** Adds the time of a call in the target. */
+  public void targetTime(String end, long nanos) {
+    targetSeconds.labelValues(end).observe(nanos / 1e9);
+  }
+
+  /** Sets the version of the desired state in force. */
+  public void stateVersion(long version) {
+    stateVersion.set(version);
+  }
+
+  /** Sets the number of connected nodes. */
+  public void peers(int count) {
+    peers.set(count);
+  }
+
+  /** Sets the number of log lines that were dropped. */
+  public void logLinesDropped(long count) {
+    logLinesDropped.set(count);
+  }
+
+  /** Returns all metrics in the text format. */
+  public byte[] text() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(false).write(bytes, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+}
