--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -7,9 +7,13 @@
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.move.MoveGrant;
+import org.acaciapond.mesh.move.MoveState;
 import org.acaciapond.mesh.target.Phase;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.rollout.evidence.LatencySketch;
+import org.acaciapond.rollout.evidence.RouteCounts;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -28,6 +32,8 @@
   private static final int STATE_REQUEST = 8;
   private static final int STATE_ROWS = 9;
   private static final int NODES = 10;
+  private static final int MOVES = 11;
+  private static final int EVIDENCE = 12;
   private static final int MAX_LIST = 100_000;
 
   private PeerCodec() {}
@@ -86,6 +92,17 @@
       for (NodeRecord node : nodes.nodes()) {
         writeNode(out, node);
       }
+    } else if (message instanceof PeerMessage.Moves moves) {
+      out.packInt(MOVES).packInt(moves.grants().size());
+      for (MoveGrant grant : moves.grants()) {
+        writeGrant(out, grant);
+      }
+    } else if (message instanceof PeerMessage.Evidence evidence) {
+      out.packInt(EVIDENCE).packString(evidence.zone()).packLong(evidence.orderNumber());
+      out.packInt(evidence.counts().size());
+      for (RouteCounts counts : evidence.counts()) {
+        writeCounts(out, counts);
+      }
     }
   }
 
@@ -116,6 +133,24 @@
         }
         yield new PeerMessage.Nodes(nodes);
       }
+      case MOVES -> {
+        int count = readCount(in);
+        List<MoveGrant> grants = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+          grants.add(readGrant(in));
+        }
+        yield new PeerMessage.Moves(grants);
+      }
+      case EVIDENCE -> {
+        String zone = in.unpackString();
+        long order = in.unpackLong();
+        int count = readCount(in);
+        List<RouteCounts> counts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+          counts.add(readCounts(in));
+        }
+        yield new PeerMessage.Evidence(zone, order, counts);
+      }
       default ->
           throw new PeerException(
               PeerErrorCode.MALFORMED_MESSAGE, "unknown message type " + type, null);
@@ -159,6 +194,7 @@
   private static void writeStatus(MessageBufferPacker out, TargetStatus status) throws IOException {
     out.packString(status.id()).packLong(status.bornMs()).packString(status.service());
     out.packString(status.version()).packInt(status.phase().ordinal()).packInt(status.slots());
+    out.packInt(status.coldMs());
     out.packBoolean(status.nodeLeaving()).packLong(status.number());
   }
 
@@ -170,6 +206,7 @@
         in.unpackString(),
         Phase.values()[in.unpackInt()],
         in.unpackInt(),
+        in.unpackInt(),
         in.unpackBoolean(),
         in.unpackLong());
   }
@@ -229,6 +266,52 @@
         readLoad(in));
   }
 
+  private static void writeGrant(MessageBufferPacker out, MoveGrant grant) throws IOException {
+    out.packString(grant.service()).packString(grant.toVersion()).packLong(grant.orderNumber());
+    out.packLong(grant.number()).packInt(grant.sharePermille());
+    out.packInt(grant.state().ordinal()).packInt(grant.elapsedMs());
+  }
+
+  private static MoveGrant readGrant(MessageUnpacker in) throws IOException {
+    return new MoveGrant(
+        in.unpackString(),
+        in.unpackString(),
+        in.unpackLong(),
+        in.unpackLong(),
+        in.unpackInt(),
+        MoveState.values()[in.unpackInt()],
+        in.unpackInt());
+  }
+
+  private static void writeCounts(MessageBufferPacker out, RouteCounts counts) throws IOException {
+    out.packString(counts.service()).packString(counts.version()).packString(counts.route());
+    out.packInt(counts.calls()).packInt(counts.errors());
+    int used = 0;
+    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
+      used += counts.latency().count(i) == 0 ? 0 : 1;
+    }
+    out.packInt(used);
+    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
+      if (counts.latency().count(i) != 0) {
+        out.packInt(i).packInt(counts.latency().count(i));
+      }
+    }
+  }
+
+  private static RouteCounts readCounts(MessageUnpacker in) throws IOException {
+    String service = in.unpackString();
+    String version = in.unpackString();
+    String route = in.unpackString();
+    int calls = in.unpackInt();
+    int errors = in.unpackInt();
+    LatencySketch latency = new LatencySketch();
+    int used = readCount(in);
+    for (int i = 0; i < used; i++) {
+      latency.add(in.unpackInt(), in.unpackInt());
+    }
+    return new RouteCounts(service, version, route, calls, errors, latency);
+  }
+
   private static void writeStrings(MessageBufferPacker out, List<String> values)
       throws IOException {
     out.packInt(values.size());
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.move.MoveGrant;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.rollout.evidence.RouteCounts;
 
 /** Message between two nodes. */
 public sealed interface PeerMessage {
@@ -48,6 +50,18 @@
   /** Nodes that the sender knows. */
   record Nodes(List<NodeRecord> nodes) implements PeerMessage {}
 
+  /** Grants of moves in force at the sender, and moves that have ended. */
+  record Moves(List<MoveGrant> grants) implements PeerMessage {}
+
+  /**
+   * Calls to versions of a service that moves, as the sender saw them since its last report.
+   *
+   * @param zone failure domain of the sender
+   * @param orderNumber number of the order
+   * @param counts calls by version and route
+   */
+  record Evidence(String zone, long orderNumber, List<RouteCounts> counts) implements PeerMessage {}
+
   /** One row of the operator. */
   record HeldRow(String key, long rowVersion, byte[] value) {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RepeatBudget.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RepeatBudget.java
@@ -12,8 +12,8 @@
 
   private static final int BUCKETS = 10;
 
-  private final double ratio;
-  private final double slack;
+  private double ratio;
+  private double slack;
   private final long bucketNanos;
   private final Map<String, Window> windows = new HashMap<>();
 
@@ -37,6 +37,12 @@
     this.bucketNanos = windowMs * 1_000_000L / BUCKETS;
   }
 
+  /** Takes other limits, from changed settings. */
+  public void limits(double newRatio, double newSlack) {
+    ratio = newRatio;
+    slack = newSlack;
+  }
+
   /** Counts a request for a service. */
   public void request(String service, long nowNanos) {
     Window window = window(service, nowNanos);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -16,6 +16,7 @@
   private int outstanding;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private boolean everUsed;
+  private long coldUntilNanos;
 
   /** Creates a candidate. */
   public Candidate(String node, String zone, TargetStatus status) {
@@ -49,6 +50,16 @@
     status = next;
   }
 
+  /** Notes how much longer the target stays slow after its start. */
+  public void coldUntil(long untilNanos) {
+    coldUntilNanos = untilNanos;
+  }
+
+  /** Returns whether the target is still slow after its start. */
+  public boolean cold(long nowNanos) {
+    return nowNanos - coldUntilNanos < 0;
+  }
+
   /** Counts a call that this node sends. */
   public void begin() {
     outstanding++;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -14,13 +14,16 @@
   private static final double DEFAULT_SERVICE_US = 100_000;
   // A target that fails a tenth of its calls counts as twice as slow.
   private static final double FAILURE_WEIGHT = 10;
+  // Bytes between failure domains are paid for, so a call leaves its domain only when it would wait
+  // there: a target with a free slot stays cheaper than an idle one elsewhere.
+  private static final double OTHER_DOMAIN_SHARE = 0.7;
+  private static final double OTHER_NODE_SHARE = 0.02;
+  private static final double BUSY_SHARE = 0.5;
   private static final double NOISE_SHARE = 0.05;
   private static final double AVOIDED_FACTOR = 1000;
 
   private final String localNode;
   private final String localZone;
-  private final double otherNodeCostUs;
-  private final double otherZoneCostUs;
   private final DoubleSupplier random;
 
   /**
@@ -28,20 +31,11 @@
    *
    * @param localNode key of this node
    * @param localZone failure domain of this node
-   * @param otherNodeCostUs time that a call to another node of the domain counts as more
-   * @param otherZoneCostUs time that a call to another domain counts as more
    * @param random uniform draws from [0, 1)
    */
-  public TargetChooser(
-      String localNode,
-      String localZone,
-      double otherNodeCostUs,
-      double otherZoneCostUs,
-      DoubleSupplier random) {
+  public TargetChooser(String localNode, String localZone, DoubleSupplier random) {
     this.localNode = localNode;
     this.localZone = localZone;
-    this.otherNodeCostUs = otherNodeCostUs;
-    this.otherZoneCostUs = otherZoneCostUs;
     this.random = random;
   }
 
@@ -69,10 +63,13 @@
     double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double pending = candidate.pending(nowNanos);
     // Below the slots a further call waits for none, but a nearly full target may be slower.
-    double waiting = pending < slots ? 0.5 * pending / slots : (pending + 1) / slots;
+    double busy = pending / slots;
+    double waiting = pending < slots ? BUSY_SHARE * busy : (pending + 1) / slots;
     double cost = serviceUs * (1 + waiting);
-    if (!candidate.node().equals(localNode)) {
-      cost += candidate.zone().equals(localZone) ? otherNodeCostUs : otherZoneCostUs;
+    if (!candidate.zone().equals(localZone)) {
+      cost += OTHER_DOMAIN_SHARE * typicalUs;
+    } else if (!candidate.node().equals(localNode)) {
+      cost += OTHER_NODE_SHARE * typicalUs;
     }
     cost *= 1 + FAILURE_WEIGHT * candidate.failureShare();
     cost *= 1 + NOISE_SHARE * random.getAsDouble();
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetStatus.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetStatus.java
@@ -9,6 +9,7 @@
  * @param version version of its software
  * @param phase phase of its life
  * @param slots calls that it works on at once
+ * @param coldMs how much longer it stays slow after its start
  * @param nodeLeaving whether the node itself shuts down
  * @param number number of the status within the node's lifetime; a lower one is stale
  */
@@ -19,6 +20,7 @@
     String version,
     Phase phase,
     int slots,
+    int coldMs,
     boolean nodeLeaving,
     long number) {
 
--- /dev/null
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/DoorQueueTest.java
@@ -0,0 +1,102 @@
+package org.acaciapond.mesh.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class DoorQueueTest {
+
+  private static final long MS = 1_000_000L;
+
+  private final ServiceTimes times = new ServiceTimes();
+  private final DoorQueue<String> queue = new DoorQueue<>(times);
+
+  private static CallClass type(int rank, long objectiveMs, long deadlineMs) {
+    return new CallClass("r", rank, objectiveMs * MS, deadlineMs * MS);
+  }
+
+  @Test
+  void shutDoorRefusesEverything() {
+    assertEquals(Offer.Decision.REFUSE, queue.offer("a", type(1, 500, 1000), 0).decision());
+  }
+
+  @Test
+  void nestedCallGoesBeforeNewOnes() {
+    times.add("r", 50_000);
+    queue.slots(1);
+    queue.offer("running", type(1, 500, 1000), 0);
+    queue.offer("new", type(1, 500, 1000), 0);
+    queue.offer("nested", type(CallClass.RANK_NESTED, 500, 1000), 0);
+    assertEquals(List.of("nested"), queue.release(10 * MS).run());
+    assertEquals(List.of("new"), queue.release(20 * MS).run());
+  }
+
+  @Test
+  void callThatCannotBeInTimeIsRefusedAtOnceWithTheTimeOfRoom() {
+    times.add("r", 100_000);
+    queue.slots(1);
+    queue.offer("running", type(1, 200, 400), 0);
+    queue.offer("waiting", type(1, 200, 400), 0);
+    Offer<String> offer = queue.offer("late", type(1, 200, 400), 0);
+    assertEquals(Offer.Decision.REFUSE, offer.decision());
+    assertTrue(offer.retryAfterMs() >= 20);
+  }
+
+  @Test
+  void cancelledCallLeavesTheQueue() {
+    times.add("r", 10_000);
+    queue.slots(1);
+    queue.offer("running", type(1, 500, 1000), 0);
+    queue.offer("waiting", type(1, 500, 1000), 0);
+    assertTrue(queue.cancel("waiting"));
+    assertFalse(queue.cancel("waiting"));
+    assertTrue(queue.release(MS).run().isEmpty());
+    assertEquals(0, queue.running());
+  }
+
+  /** Guards against a slot that is lost or given twice, whatever order calls come and end in. */
+  @Property(tries = 300)
+  void slotsAreExactAndEveryCallEndsOnce(
+      @ForAll @IntRange(min = 1, max = 4) int slots,
+      @ForAll @Size(min = 1, max = 60) List<@IntRange(min = -1, max = 9) Integer> script) {
+    DoorQueue<String> door = new DoorQueue<>(new ServiceTimes());
+    door.slots(slots);
+    Deque<String> running = new ArrayDeque<>();
+    List<String> ended = new ArrayList<>();
+    long now = 0;
+    int number = 0;
+    for (int action : script) {
+      now += 7 * MS;
+      if (action < 4) {
+        String call = "c" + number++;
+        Offer<String> offer =
+            door.offer(call, new CallClass("r", action, now + 300 * MS, now + 600 * MS), now);
+        ended.addAll(offer.evicted());
+        if (offer.decision() == Offer.Decision.RUN) {
+          running.add(call);
+        } else if (offer.decision() == Offer.Decision.REFUSE) {
+          ended.add(call);
+        }
+      } else if (!running.isEmpty()) {
+        ended.add(running.remove());
+        DoorQueue.Released<String> released = door.release(now);
+        running.addAll(released.run());
+        ended.addAll(released.refused());
+      }
+      assertTrue(running.size() <= slots);
+      assertEquals(running.size(), door.running());
+      assertEquals(number, ended.size() + running.size() + door.queued());
+      assertEquals(ended.size(), ended.stream().distinct().count());
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -0,0 +1,88 @@
+package org.acaciapond.mesh.peer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.move.MoveGrant;
+import org.acaciapond.mesh.move.MoveState;
+import org.acaciapond.mesh.target.Phase;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.rollout.evidence.LatencySketch;
+import org.acaciapond.rollout.evidence.RouteCounts;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+
+  private static final NodeRecord NODE = new NodeRecord("k", "10.0.0.1", 7000, "z", "s", 5);
+
+  private static void assertSurvives(PeerMessage message) {
+    assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
+  }
+
+  @Test
+  void messagesSurviveTheWire() {
+    assertSurvives(new PeerMessage.Hello(NODE, 7));
+    assertSurvives(
+        new PeerMessage.Status(
+            new TargetStatus("i", 1, "s", "v1", Phase.DRAINING, 9, 30, true, 4),
+            new TargetLoad(1, 2, 3, 4),
+            8));
+    assertSurvives(new PeerMessage.Cancel(3));
+    assertSurvives(new PeerMessage.Ping(1));
+    assertSurvives(new PeerMessage.Pong(1));
+    assertSurvives(new PeerMessage.StateRequest());
+    assertSurvives(new PeerMessage.Nodes(List.of(NODE, NODE)));
+    assertSurvives(
+        new PeerMessage.Moves(
+            List.of(new MoveGrant("s", "v2", 1, 2, 160, MoveState.TAKEN_BACK, 900))));
+    LatencySketch latency = new LatencySketch();
+    latency.add(7, 3);
+    assertSurvives(
+        new PeerMessage.Evidence("z", 4, List.of(new RouteCounts("s", "v2", "r", 5, 2, latency))));
+  }
+
+  @Test
+  void callsAndAnswersSurviveTheWire() {
+    byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+    MeshCall call =
+        new MeshCall(
+            "id", "POST", "/a?b", List.of("h", "v"), body, 500, -3, -1, "r", "s", "i", false);
+    PeerMessage.Call read =
+        assertInstanceOf(
+            PeerMessage.Call.class,
+            PeerCodec.decode(PeerCodec.encode(new PeerMessage.Call(9, call))));
+    assertArrayEquals(body, read.call().body());
+    assertEquals(call.headers(), read.call().headers());
+    assertEquals(-3, read.call().objectiveLeftMs());
+    MeshReply reply =
+        new MeshReply(
+            Outcome.ANSWERED, Reason.NONE, 0, 200, List.of(), body, 12, new TargetLoad(1, 0, 9, 0));
+    PeerMessage.Reply answered =
+        assertInstanceOf(
+            PeerMessage.Reply.class,
+            PeerCodec.decode(PeerCodec.encode(new PeerMessage.Reply(9, reply))));
+    assertEquals(200, answered.reply().status());
+    assertEquals(reply.load(), answered.reply().load());
+  }
+
+  /** Guards against a node that dies or hangs on bytes of another sender. */
+  @Property(tries = 2_000)
+  void foreignBytesGiveAnErrorOfThisLayerOnly(@ForAll @Size(max = 60) byte[] bytes) {
+    try {
+      PeerCodec.decode(bytes);
+    } catch (PeerException e) {
+      assertEquals(PeerErrorCode.MALFORMED_MESSAGE, e.code());
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RepeatBudgetTest.java
@@ -0,0 +1,60 @@
+package org.acaciapond.mesh.retry;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class RepeatBudgetTest {
+
+  private static final long MS = 1_000_000L;
+
+  @Test
+  void budgetComesBackAfterTheWindow() {
+    RepeatBudget budget = new RepeatBudget(0.1, 2, 10_000);
+    assertTrue(budget.tryRepeat("s", 1, 0));
+    assertTrue(budget.tryRepeat("s", 1, 0));
+    assertFalse(budget.tryRepeat("s", 1, 5_000 * MS));
+    assertTrue(budget.tryRepeat("s", 1, 11_000 * MS));
+  }
+
+  /**
+   * Guards against a fleet that repeats more than the contract allows while its nodes cannot talk:
+   * each node asks for far more than its part, and the sum is checked in every window.
+   */
+  @Property(tries = 60)
+  void sumOverNodesStaysWithinTheBudget(
+      @ForAll @IntRange(min = 1, max = 12) int nodes, @ForAll long seed) {
+    Random random = new Random(seed);
+    double ratio = 0.1;
+    double slack = 31;
+    List<RepeatBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      budgets.add(new RepeatBudget(ratio, slack, 10_000));
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    for (long ms = 0; ms < 30_000; ms += 20) {
+      RepeatBudget budget = budgets.get(random.nextInt(nodes));
+      if (random.nextInt(3) > 0) {
+        budget.request("s", ms * MS);
+        requests.add(ms);
+      }
+      if (budget.tryRepeat("s", nodes, ms * MS)) {
+        repeats.add(ms);
+      }
+    }
+    for (long start = 0; start < 20_000; start += 500) {
+      long from = start;
+      long inWindow = repeats.stream().filter(at -> at >= from && at < from + 10_000).count();
+      long asked = requests.stream().filter(at -> at >= from - 5_000 && at < from + 10_000).count();
+      assertTrue(inWindow <= 2 * (ratio * asked + slack) + 1, "repeats " + inWindow);
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -0,0 +1,51 @@
+package org.acaciapond.mesh.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TargetChooserTest {
+
+  private final TargetChooser chooser = new TargetChooser("n1", "z1", () -> 0);
+
+  private static Candidate candidate(String node, String zone, Phase phase) {
+    return new Candidate(
+        node, zone, new TargetStatus("i-" + node, 1, "s", "v1", phase, 2, 0, false, 1));
+  }
+
+  @Test
+  void idleMeshPrefersTheOwnTargetThenTheOwnDomain() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate near = candidate("n2", "z1", Phase.READY);
+    Candidate far = candidate("n3", "z2", Phase.READY);
+    List<Candidate> all = List.of(far, near, own);
+    assertEquals(own, chooser.choose(all, each -> true, 0));
+    assertEquals(near, chooser.choose(all, each -> each != own, 0));
+  }
+
+  @Test
+  void fullTargetIsLeftForOneThatIsFarther() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate far = candidate("n3", "z2", Phase.READY);
+    own.report(new TargetLoad(2, 6, 60_000, 0), 0);
+    far.report(new TargetLoad(0, 0, 60_000, 0), 0);
+    assertEquals(far, chooser.choose(List.of(own, far), each -> true, 0));
+  }
+
+  @Test
+  void failingTargetIsLeftForHealthyOne() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate far = candidate("n3", "z2", Phase.READY);
+    own.report(new TargetLoad(0, 0, 60_000, 450), 0);
+    far.report(new TargetLoad(0, 0, 60_000, 0), 0);
+    assertEquals(far, chooser.choose(List.of(own, far), each -> true, 0));
+  }
+
+  @Test
+  void leavingTargetIsNeverChosen() {
+    Candidate leaving = candidate("n1", "z1", Phase.DRAINING);
+    assertNull(chooser.choose(List.of(leaving), each -> true, 0));
+  }
+}
--- /dev/null
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
@@ -0,0 +1,63 @@
+package org.acaciapond.mesh.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class TargetLifecycleTest {
+
+  private final TargetLifecycle lifecycle = new TargetLifecycle();
+
+  private static CheckIn checkIn(String id, long born, long sequence, boolean draining) {
+    return new CheckIn(id, born, sequence, "s", "v1", 9, draining, 0);
+  }
+
+  @Test
+  void nothingIsSentBeforeTheFirstCheckIn() {
+    assertEquals(Phase.UNKNOWN, lifecycle.phase());
+  }
+
+  @Test
+  void lateCheckInDoesNotReopenDrainingTarget() {
+    lifecycle.accept(checkIn("a", 100, 1, false));
+    lifecycle.accept(checkIn("a", 100, 5, true));
+    assertFalse(lifecycle.accept(checkIn("a", 100, 4, false)));
+    lifecycle.accept(checkIn("a", 100, 6, false));
+    assertEquals(Phase.DRAINING, lifecycle.phase());
+  }
+
+  @Test
+  void checkInOfDeadLifetimeDoesNotReplaceNewOne() {
+    lifecycle.accept(checkIn("a", 100, 9, false));
+    assertTrue(lifecycle.accept(checkIn("b", 200, 1, false)));
+    assertFalse(lifecycle.accept(checkIn("a", 100, 10, true)));
+    assertEquals("b", lifecycle.latest().id());
+    assertEquals(Phase.READY, lifecycle.phase());
+  }
+
+  @Test
+  void sameIdWithNewBirthIsNewLifetimeAndCountsFromTheStart() {
+    lifecycle.accept(checkIn("a", 100, 50, false));
+    lifecycle.deregister("a", 100);
+    assertEquals(Phase.GONE, lifecycle.phase());
+    assertFalse(lifecycle.accept(checkIn("a", 100, 51, false)));
+    assertTrue(lifecycle.accept(checkIn("a", 300, 1, false)));
+    assertEquals(Phase.READY, lifecycle.phase());
+  }
+
+  @Test
+  void leavingOfOlderLifetimeDoesNotEndNewOne() {
+    lifecycle.accept(checkIn("a", 300, 1, false));
+    assertFalse(lifecycle.deregister("a", 100));
+    assertEquals(Phase.READY, lifecycle.phase());
+  }
+
+  @Test
+  void leavingSeenBeforeAnyCheckInKeepsTheDoorShut() {
+    lifecycle.deregister("a", 100);
+    assertFalse(lifecycle.accept(checkIn("a", 100, 7, false)));
+    assertEquals(Phase.UNKNOWN, lifecycle.phase());
+  }
+}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
@@ -15,6 +15,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.sidecar.telemetry.EventLog;
+import sun.misc.Signal;
 
 /** Entry point of the node beside a target. Exit codes: 0 stopped, 2 bad settings, 4 no start. */
 public final class SidecarMain {
@@ -32,8 +33,7 @@
     TimeSource time = TimeSource.system();
     SidecarSettings settings;
     try {
-      String path = System.getenv(SettingsFile.PATH_VARIABLE);
-      settings = SettingsFile.read(Path.of(path == null ? "" : path));
+      settings = SettingsFile.read(settingsPath());
     } catch (SettingsException e) {
       System.err.println("acaciapond-sidecar: " + e.getMessage());
       System.exit(EXIT_BAD_SETTINGS);
@@ -58,7 +58,7 @@
               .start()
               .subscribe()
               .with(
-                  done -> stopOnSignal(vertx, process, log),
+                  done -> handleSignals(vertx, process, log),
                   error -> {
                     log.event("no_start", "error", error.getMessage());
                     log.stop().subscribe().with(done -> {});
@@ -80,23 +80,35 @@
                 .setFileCachingEnabled(false));
   }
 
-  private static void stopOnSignal(Vertx vertx, SidecarProcess process, EventLog log) {
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  java.util.concurrent.CountDownLatch ended =
-                      new java.util.concurrent.CountDownLatch(1);
-                  vertx.runOnContext(
-                      on -> process.stop().subscribe().with(done -> ended.countDown()));
-                  try {
-                    ended.await();
-                  } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                  }
-                  log.stop().subscribe().with(done -> {});
-                  Runtime.getRuntime().halt(0);
-                },
-                "stop"));
+  // The platform ends a process with SIGTERM and announces changed settings with SIGHUP, which
+  // would end a Java process that does not handle it.
+  private static void handleSignals(Vertx vertx, SidecarProcess process, EventLog log) {
+    Signal.handle(new Signal("HUP"), signal -> vertx.runOnContext(on -> reload(process, log)));
+    Signal.handle(
+        new Signal("TERM"),
+        signal ->
+            vertx.runOnContext(
+                on ->
+                    process
+                        .stop()
+                        .subscribe()
+                        .with(
+                            done -> {
+                              log.stop().subscribe().with(written -> {});
+                              Runtime.getRuntime().halt(0);
+                            })));
+  }
+
+  private static void reload(SidecarProcess process, EventLog log) {
+    try {
+      process.reload(SettingsFile.read(settingsPath()));
+    } catch (SettingsException e) {
+      log.event("settings_kept", "problem", e.getMessage());
+    }
+  }
+
+  private static Path settingsPath() {
+    String path = System.getenv(SettingsFile.PATH_VARIABLE);
+    return Path.of(path == null ? "" : path);
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -27,6 +27,7 @@
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
 import org.acaciapond.sidecar.door.TargetDoor;
+import org.acaciapond.sidecar.move.MoveService;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.state.NodeRegistry;
 import org.acaciapond.sidecar.state.OperatorState;
@@ -39,7 +40,7 @@
 
   private static final ServerLimits CONTROL_LIMITS =
       new ServerLimits(16_384, 65_536, 5_000, 60_000);
-  private static final Duration FEED_WAIT = Duration.ofSeconds(10);
+  private static final Duration FEED_WAIT = Duration.ofSeconds(25);
   // Clients stop to use a machine after two missed readiness questions, one a second.
   private static final int UNREADY_MS = 2_300;
   // The platform kills a process at the end of the grace time; requests get five sixths of it.
@@ -51,8 +52,6 @@
   // the contract's ratio is left for them.
   private static final double OWN_REPEAT_RATIO_SHARE = 0.5;
   private static final double OWN_SLACK_SHARE = 0.5;
-  private static final double OTHER_NODE_COST_US = 1_000;
-  private static final double OTHER_ZONE_COST_US = 6_000;
 
   private final Vertx vertx;
   private final SidecarSettings settings;
@@ -61,7 +60,9 @@
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final DesiredStateHolder states = new DesiredStateHolder();
+  private final RepeatBudget budget;
   private final OperatorState operator;
+  private final MoveService moves;
   private final TargetDoor door;
   private final PeerNetwork network;
   private final RequestRouter router;
@@ -99,16 +100,17 @@
             time.now().toEpochMilli());
     operator = new OperatorState(codec, states, log, metrics);
     door = new TargetDoor(vertx, settings, codec.headers(), log, metrics, time);
-    network = new PeerNetwork(vertx, self, door, new States(), log, metrics, random, time);
+    moves = new MoveService(vertx, store, codec, self.key(), self.zone(), log, time);
+    network = new PeerNetwork(vertx, self, door, new States(), moves, log, metrics, random, time);
     operator.onChange(network::publishStatus);
+    operator.onOrder(moves::order);
     SidecarSettings.Bounds bounds = settings.bounds();
-    RepeatBudget budget =
+    budget =
         new RepeatBudget(
             bounds.repeatRatio() * OWN_REPEAT_RATIO_SHARE,
             bounds.repeatSlack() * OWN_SLACK_SHARE,
             bounds.repeatWindowMs());
-    TargetChooser chooser =
-        new TargetChooser(self.key(), self.zone(), OTHER_NODE_COST_US, OTHER_ZONE_COST_US, random);
+    TargetChooser chooser = new TargetChooser(self.key(), self.zone(), random);
     router =
         new RequestRouter(
             vertx,
@@ -118,7 +120,8 @@
             network,
             chooser,
             budget,
-            (service, candidates) -> candidate -> true,
+            moves,
+            moves,
             log,
             metrics,
             random,
@@ -186,12 +189,22 @@
         settings.peer().port());
     operatorFeed.start();
     nodeFeed.start();
+    moves.start(network);
     return Uni.join()
         .all(List.of(control.start(), network.start(), outbound.start(), ready.start()))
         .andFailFast()
         .replaceWithVoid();
   }
 
+  /** Compares changed settings with those in force; addresses take effect at the next start. */
+  public void reload(SidecarSettings changed) {
+    boolean same = changed.equals(settings);
+    log.event("settings_read", "same", same, "service", changed.service());
+    budget.limits(
+        changed.bounds().repeatRatio() * OWN_REPEAT_RATIO_SHARE,
+        changed.bounds().repeatSlack() * OWN_SLACK_SHARE);
+  }
+
   /**
    * Ends the node without cutting requests: it turns unready, serves until clients have left it,
    * waits for what is under way, and then closes.
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -21,6 +21,7 @@
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Takes requests of the clients and of the target beside this node. */
 public final class RequestRouter {
@@ -35,6 +36,7 @@
   final TargetChooser chooser;
   final RepeatBudget budget;
   final VersionFilter versions;
+  final CallWitness witness;
   final EventLog log;
   final NodeMetrics metrics;
   final TimeSource time;
@@ -52,6 +54,7 @@
       TargetChooser chooser,
       RepeatBudget budget,
       VersionFilter versions,
+      CallWitness witness,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -64,6 +67,7 @@
     this.chooser = chooser;
     this.budget = budget;
     this.versions = versions;
+    this.witness = witness;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -105,13 +109,14 @@
             route,
             service,
             limitMs,
+            random.getAsDouble(),
             nested ? CallClass.RANK_NESTED : route.priority());
     open.add(request);
     budget.request(service, time.nanoTime());
     request.start();
   }
 
-  private static int timeoutMs(@org.jspecify.annotations.Nullable String header) {
+  private static int timeoutMs(@Nullable String header) {
     if (header == null) {
       return DEFAULT_TIMEOUT_MS;
     }
@@ -128,7 +133,7 @@
 
   private void end(
       HttpExchange exchange,
-      @org.jspecify.annotations.Nullable String id,
+      @Nullable String id,
       int status,
       String end,
       String field,
@@ -149,11 +154,7 @@
     exchange.answer(HttpAnswer.empty(status, List.of()));
   }
 
-  private void refuse(
-      HttpExchange exchange,
-      @org.jspecify.annotations.Nullable String id,
-      Reason reason,
-      int retryAfterMs) {
+  private void refuse(HttpExchange exchange, @Nullable String id, Reason reason, int retryAfterMs) {
     String end = "refused_" + reason.name().toLowerCase(Locale.ROOT);
     metrics.request(end, time.nanoTime() - exchange.receivedNanos());
     log.request("request_ended", "id", id, "end", end, "status", 503);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -10,9 +10,11 @@
 import org.acaciapond.http.HttpMessage;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.rollout.evidence.CallResult;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,6 +40,7 @@
   private final int limitMs;
   private final long deadlineNanos;
   private final long objectiveNanos;
+  private final double draw;
   private final int rank;
   private final Set<String> tried = new HashSet<>();
   private @Nullable Candidate current;
@@ -58,6 +61,7 @@
       Route route,
       String service,
       int limitMs,
+      double draw,
       int rank) {
     this.router = router;
     this.exchange = exchange;
@@ -65,6 +69,7 @@
     this.route = route;
     this.service = service;
     this.limitMs = limitMs;
+    this.draw = draw;
     this.rank = rank;
     this.deadlineNanos = exchange.receivedNanos() + limitMs * 1_000_000L;
     int objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
@@ -93,7 +98,8 @@
       return;
     }
     List<Candidate> candidates = router.network.candidates(service);
-    Predicate<Candidate> version = router.versions.forRequest(service, candidates);
+    Predicate<Candidate> version =
+        router.versions.forRequest(service, candidates, tried.isEmpty() ? draw : 1);
     Candidate chosen =
         router.chooser.choose(
             candidates,
@@ -162,6 +168,7 @@
           "left_ms",
           leftMs());
     }
+    tellWitness(from, reply);
     switch (reply.outcome()) {
       case ANSWERED -> onAnswer(reply);
       case REFUSED -> onRefusal(from, reply);
@@ -188,6 +195,14 @@
     }
   }
 
+  private void tellWitness(Candidate from, MeshReply reply) {
+    boolean failed = reply.outcome() == Outcome.UNKNOWN || reply.status() >= 500;
+    if (reply.outcome() == Outcome.ANSWERED || reply.outcome() == Outcome.UNKNOWN) {
+      CallResult result = failed ? CallResult.ERROR : CallResult.SUCCESS;
+      router.witness.saw(from, route.name(), result, reply.runUs());
+    }
+  }
+
   private void avoid(Candidate candidate, int ms) {
     candidate.avoidUntil(router.time.nanoTime() + ms * 1_000_000L);
   }
@@ -260,6 +275,11 @@
   private void deadlineReached() {
     Runnable cancel = giveUp;
     giveUp = null;
+    Candidate slow = current;
+    if (cancel != null && slow != null) {
+      // The answer would have been at least this slow.
+      router.witness.saw(slow, route.name(), CallResult.SUCCESS, limitMs * 1_000.0);
+    }
     if (failure != null && cancel == null) {
       endWithoutTarget();
       return;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/VersionFilter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/VersionFilter.java
@@ -8,6 +8,10 @@
 @FunctionalInterface
 public interface VersionFilter {
 
-  /** Returns the test that candidates have to pass for one request. */
-  Predicate<Candidate> forRequest(String service, List<Candidate> candidates);
+  /**
+   * Returns the test that candidates have to pass for one request.
+   *
+   * @param draw uniform draw from [0, 1) of the request; a repeat passes 1 to get the old version
+   */
+  Predicate<Candidate> forRequest(String service, List<Candidate> candidates, double draw);
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -216,7 +216,8 @@
   public TargetStatus status() {
     CheckIn held = lifecycle.latest();
     if (held == null) {
-      return new TargetStatus("", 0, service, "", lifecycle.phase(), 0, nodeLeaving, statusNumber);
+      return new TargetStatus(
+          "", 0, service, "", lifecycle.phase(), 0, 0, nodeLeaving, statusNumber);
     }
     return new TargetStatus(
         held.id(),
@@ -225,6 +226,7 @@
         held.version(),
         lifecycle.phase(),
         held.slots(),
+        held.coldMs(),
         nodeLeaving,
         statusNumber);
   }
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
@@ -0,0 +1,328 @@
+package org.acaciapond.sidecar.move;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.move.MoveBook;
+import org.acaciapond.mesh.move.MoveGrant;
+import org.acaciapond.mesh.move.MoveJudge;
+import org.acaciapond.mesh.move.MoveOrder;
+import org.acaciapond.mesh.move.MoveProgress;
+import org.acaciapond.mesh.move.MoveState;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.platform.PlatformCodec;
+import org.acaciapond.mesh.store.MeshStore;
+import org.acaciapond.mesh.store.StoreArea;
+import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.store.StoreRows;
+import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.rollout.evidence.CallResult;
+import org.acaciapond.rollout.evidence.Evidence;
+import org.acaciapond.rollout.evidence.RouteCounts;
+import org.acaciapond.sidecar.call.CallWitness;
+import org.acaciapond.sidecar.call.VersionFilter;
+import org.acaciapond.sidecar.peer.PeerNetwork;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Moves at one node. Every node reports what its requests saw to the judge, which is the connected
+ * node with the lowest key; the judge grants shares, and its grants lapse when it falls silent. To
+ * take a version back needs no store.
+ */
+public final class MoveService implements PeerNetwork.MoveExchange, CallWitness, VersionFilter {
+
+  private static final int MAX_EVIDENCE_CELLS = 4_096;
+  private static final int RENEW_MS = 500;
+  private static final int READ_RETRY_MS = 500;
+
+  private final Vertx vertx;
+  private final MeshStore store;
+  private final PlatformCodec codec;
+  private final String nodeKey;
+  private final String zone;
+  private final EventLog log;
+  private final TimeSource time;
+  private final MoveBook book = new MoveBook();
+  private final Evidence evidence = new Evidence(MAX_EVIDENCE_CELLS);
+  private final Map<String, Running> moves = new HashMap<>();
+  private @Nullable PeerNetwork network;
+  private long timer = -1;
+
+  /** Move of one service at this node. */
+  private final class Running {
+    final MoveOrder order;
+    final long startNanos;
+    @Nullable MoveJudge judge;
+    @Nullable ProgressRow row;
+    long grantNumber;
+    long renewedNanos = Long.MIN_VALUE;
+
+    Running(MoveOrder order, long startNanos) {
+      this.order = order;
+      this.startNanos = startNanos;
+    }
+
+    int elapsedMs() {
+      return (int) ((time.nanoTime() - startNanos) / 1_000_000);
+    }
+  }
+
+  /** Creates the service. */
+  public MoveService(
+      Vertx vertx,
+      MeshStore store,
+      PlatformCodec codec,
+      String nodeKey,
+      String zone,
+      EventLog log,
+      TimeSource time) {
+    this.vertx = vertx;
+    this.store = store;
+    this.codec = codec;
+    this.nodeKey = nodeKey;
+    this.zone = zone;
+    this.log = log;
+    this.time = time;
+  }
+
+  /** Starts to read how far moves are, which a node that starts amid one does not know. */
+  public void start(PeerNetwork peers) {
+    network = peers;
+    store
+        .read(StoreArea.MOVES)
+        .subscribe()
+        .with(this::onRows, error -> vertx.setTimer(READ_RETRY_MS, id -> start(peers)));
+  }
+
+  private void onRows(StoreRows rows) {
+    for (StoreRow row : rows.rows()) {
+      MoveProgress progress = codec.decodeProgress(row);
+      if (progress != null) {
+        book.progress(progress, row.version());
+      }
+    }
+  }
+
+  /** Takes an order of the operator. */
+  public void order(MoveOrder order) {
+    if (!book.order(order)) {
+      return;
+    }
+    log.event(
+        "move_ordered",
+        "service",
+        order.service(),
+        "to",
+        order.toVersion(),
+        "duration_ms",
+        order.durationMs(),
+        "number",
+        order.number());
+    moves.put(order.service(), new Running(order, time.nanoTime()));
+    if (timer < 0) {
+      timer = vertx.setPeriodic(MoveJudge.INTERVAL_MS, id -> tick());
+    }
+  }
+
+  @Override
+  public Predicate<Candidate> forRequest(String service, List<Candidate> candidates, double draw) {
+    return book.filter(service, candidates, draw, time.nanoTime());
+  }
+
+  @Override
+  public void saw(Candidate target, String route, CallResult result, double latencyUs) {
+    String service = target.status().service();
+    if (moves.containsKey(service)) {
+      boolean cold = target.cold(time.nanoTime());
+      evidence.record(
+          service, target.status().version(), route, result, cold ? Double.NaN : latencyUs);
+    }
+  }
+
+  @Override
+  public List<MoveGrant> grants() {
+    List<MoveGrant> grants = new ArrayList<>(book.ends());
+    for (Running move : moves.values()) {
+      MoveJudge judge = move.judge;
+      if (judge != null && judge.state() == MoveState.RUNNING) {
+        grants.add(grant(move, judge));
+      }
+    }
+    return grants;
+  }
+
+  @Override
+  public void accept(List<MoveGrant> grants) {
+    for (MoveGrant grant : grants) {
+      boolean news = book.grant(grant, time.nanoTime());
+      if (news) {
+        log.event(
+            "move_grant",
+            "service",
+            grant.service(),
+            "to",
+            grant.toVersion(),
+            "order",
+            grant.orderNumber(),
+            "share_permille",
+            grant.sharePermille(),
+            "state",
+            grant.state());
+      }
+      if (news && grant.state() != MoveState.RUNNING) {
+        publish(List.of(grant));
+      }
+    }
+  }
+
+  @Override
+  public void accept(PeerMessage.Evidence reported) {
+    for (Running move : moves.values()) {
+      if (move.order.number() == reported.orderNumber()) {
+        judge(move).accept(reported.zone(), move.elapsedMs(), reported.counts());
+      }
+    }
+  }
+
+  private MoveJudge judge(Running move) {
+    MoveJudge held = move.judge;
+    if (held != null) {
+      return held;
+    }
+    PeerNetwork peers = network;
+    String old =
+        peers == null
+            ? ""
+            : book.currentVersion(move.order.service(), peers.candidates(move.order.service()));
+    MoveJudge created = new MoveJudge(move.order, old);
+    MoveGrant earlier = book.grant(move.order.service());
+    if (earlier != null && earlier.orderNumber() == move.order.number()) {
+      created.resume(earlier.sharePermille());
+    }
+    move.judge = created;
+    log.event("move_judged_here", "service", move.order.service(), "old", old);
+    return created;
+  }
+
+  private void tick() {
+    PeerNetwork peers = network;
+    if (peers == null) {
+      return;
+    }
+    List<RouteCounts> counts = evidence.drain();
+    String judgeKey = peers.lowestKey();
+    for (Running move : new ArrayList<>(moves.values())) {
+      if (book.state(move.order) != MoveState.RUNNING) {
+        end(move);
+        continue;
+      }
+      List<RouteCounts> own =
+          counts.stream().filter(each -> each.service().equals(move.order.service())).toList();
+      if (judgeKey.equals(nodeKey)) {
+        MoveJudge judge = judge(move);
+        judge.accept(zone, move.elapsedMs(), own);
+        decide(move, judge);
+      } else if (!own.isEmpty()) {
+        peers.send(judgeKey, new PeerMessage.Evidence(zone, move.order.number(), own));
+      }
+    }
+    if (moves.isEmpty()) {
+      vertx.cancelTimer(timer);
+      timer = -1;
+    }
+  }
+
+  private void decide(Running move, MoveJudge judge) {
+    if (move.row == null) {
+      move.row =
+          new ProgressRow(
+              vertx, store, codec, move.order, (progress, at) -> ended(move, progress, at), log);
+      move.row.want(MoveState.RUNNING);
+    }
+    boolean changed = judge.decide(move.elapsedMs());
+    long nowNanos = time.nanoTime();
+    boolean due =
+        move.renewedNanos == Long.MIN_VALUE
+            || nowNanos - move.renewedNanos >= RENEW_MS * 1_000_000L;
+    if (changed) {
+      move.grantNumber++;
+      log.event(
+          "move_step",
+          "service",
+          move.order.service(),
+          "to",
+          move.order.toVersion(),
+          "elapsed_ms",
+          move.elapsedMs(),
+          "share_permille",
+          judge.sharePermille(),
+          "state",
+          judge.state(),
+          "new_calls",
+          judge.newCalls(),
+          "reason",
+          judge.reason());
+    }
+    if (changed || due) {
+      move.renewedNanos = nowNanos;
+      MoveGrant grant = grant(move, judge);
+      book.grant(grant, nowNanos);
+      publish(List.of(grant));
+    }
+    if (judge.state() != MoveState.RUNNING) {
+      move.row.want(judge.state());
+    }
+  }
+
+  private static MoveGrant grant(Running move, MoveJudge judge) {
+    return new MoveGrant(
+        move.order.service(),
+        move.order.toVersion(),
+        move.order.number(),
+        move.grantNumber,
+        judge.sharePermille(),
+        judge.state(),
+        move.elapsedMs());
+  }
+
+  private void ended(Running move, MoveProgress progress, long rowVersion) {
+    book.progress(progress, rowVersion);
+    publish(book.ends());
+    log.event(
+        "move_ended",
+        "service",
+        move.order.service(),
+        "to",
+        progress.toVersion(),
+        "state",
+        progress.state());
+  }
+
+  // The judge's row is kept until it is written; other nodes need nothing more of the move.
+  private void end(Running move) {
+    MoveState state = book.state(move.order);
+    ProgressRow row = move.row;
+    PeerNetwork peers = network;
+    if (row == null && peers != null && peers.lowestKey().equals(nodeKey)) {
+      row =
+          new ProgressRow(
+              vertx, store, codec, move.order, (progress, at) -> ended(move, progress, at), log);
+    }
+    if (row != null) {
+      row.want(state);
+    }
+    moves.remove(move.order.service(), move);
+  }
+
+  private void publish(List<MoveGrant> grants) {
+    PeerNetwork peers = network;
+    if (peers != null) {
+      peers.publish(new PeerMessage.Moves(grants));
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/package-info.java
@@ -0,0 +1,5 @@
+/** Moves of traffic between versions: evidence, judging and the row that states the progress. */
+@NullMarked
+package org.acaciapond.sidecar.move;
+
+import org.jspecify.annotations.NullMarked;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -20,6 +20,7 @@
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.move.MoveGrant;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.target.Candidate;
@@ -52,10 +53,23 @@
     void accept(List<PeerMessage.HeldRow> rows);
   }
 
+  /** What peers tell of moves. */
+  public interface MoveExchange {
+    /** Returns the grants and ends of moves that this node knows. */
+    List<MoveGrant> grants();
+
+    /** A peer told of grants or ends. */
+    void accept(List<MoveGrant> grants);
+
+    /** A peer reported what its requests saw. */
+    void accept(PeerMessage.Evidence evidence);
+  }
+
   private final Vertx vertx;
   private final NodeRecord self;
   private final TargetDoor door;
   private final StateExchange states;
+  private final MoveExchange moves;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
@@ -80,6 +94,7 @@
       NodeRecord self,
       TargetDoor door,
       StateExchange states,
+      MoveExchange moves,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -88,6 +103,7 @@
     this.self = self;
     this.door = door;
     this.states = states;
+    this.moves = moves;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -189,10 +205,33 @@
     };
   }
 
+  /** Returns the lowest key among this node and those it is connected to. */
+  public String lowestKey() {
+    String lowest = self.key();
+    for (PeerLink link : links.values()) {
+      if (link.connected() && link.node().key().compareTo(lowest) < 0) {
+        lowest = link.node().key();
+      }
+    }
+    return lowest;
+  }
+
+  /** Sends a message to one node, if there is a connection. */
+  public void send(String key, PeerMessage message) {
+    PeerLink link = links.get(key);
+    if (link != null) {
+      link.send(message);
+    }
+  }
+
+  /** Sends a message to all nodes that are connected to this one. */
+  public void publish(PeerMessage message) {
+    inbound.keySet().forEach(socket -> socket.send(message));
+  }
+
   /** Tells all connected nodes of the own target and the desired state in force. */
   public void publishStatus() {
-    PeerMessage.Status status = ownStatus();
-    inbound.keySet().forEach(socket -> socket.send(status));
+    publish(ownStatus());
   }
 
   private PeerMessage.Status ownStatus() {
@@ -203,6 +242,7 @@
     Candidate own = candidates.get(self.key());
     if (own != null) {
       own.status(status);
+      own.coldUntil(time.nanoTime() + status.coldMs() * 1_000_000L);
     }
     publishStatus();
   }
@@ -221,6 +261,10 @@
     List<NodeRecord> known = new ArrayList<>();
     links.values().forEach(link -> known.add(link.node()));
     peer.send(new PeerMessage.Nodes(known));
+    List<MoveGrant> grants = moves.grants();
+    if (!grants.isEmpty()) {
+      peer.send(new PeerMessage.Moves(grants));
+    }
   }
 
   private void onInbound(PeerSocket socket, PeerMessage message) {
@@ -246,6 +290,8 @@
       }
     } else if (message instanceof PeerMessage.StateRequest) {
       socket.send(new PeerMessage.StateRows(states.rows()));
+    } else if (message instanceof PeerMessage.Evidence evidence) {
+      moves.accept(evidence);
     }
   }
 
@@ -317,6 +363,8 @@
         nodes.nodes().forEach(PeerNetwork.this::learn);
       } else if (message instanceof PeerMessage.StateRows rows) {
         states.accept(rows.rows());
+      } else if (message instanceof PeerMessage.Moves told) {
+        moves.accept(told.grants());
       }
     }
 
@@ -335,6 +383,7 @@
         }
       }
       held.report(message.load(), time.nanoTime());
+      held.coldUntil(time.nanoTime() + status.coldMs() * 1_000_000L);
       if (status.phase() != Phase.READY || status.nodeLeaving()) {
         log.event(
             "peer_target",
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import org.acaciapond.mesh.move.MoveOrder;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.platform.OperatorFact;
 import org.acaciapond.mesh.platform.PlatformCodec;
@@ -21,6 +23,7 @@
   private final NodeMetrics metrics;
   private final Map<String, StoreRow> rows = new HashMap<>();
   private Runnable onChange = () -> {};
+  private Consumer<MoveOrder> onOrder = order -> {};
 
   /** Creates an empty state. */
   public OperatorState(
@@ -36,6 +39,11 @@
     onChange = listener;
   }
 
+  /** Sets who is told of orders to move traffic. */
+  public void onOrder(Consumer<MoveOrder> listener) {
+    onOrder = listener;
+  }
+
   /** Applies rows; an older version of a row than the one held changes nothing. */
   public void apply(List<StoreRow> delivered, String source) {
     for (StoreRow row : delivered) {
@@ -65,6 +73,8 @@
         metrics.stateVersion(state.state().version());
         onChange.run();
       }
+    } else if (fact instanceof OperatorFact.Order order) {
+      onOrder.accept(order.order());
     } else if (fact instanceof OperatorFact.Unknown unknown) {
       log.event(
           "operator_row_ignored",
