Keep the door shut for lifetimes that left, refuse late requests on stop

Peers now tell a node that starts again what they remember, and a leaving without a birth shuts out the id. Ruled out: drain_ms timing, queueing at the door (the trace shows one hop).

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -34,6 +34,7 @@
   private static final int NODES = 10;
   private static final int MOVES = 11;
   private static final int EVIDENCE = 12;
+  private static final int RECALL = 13;
   private static final int MAX_LIST = 100_000;
 
   private PeerCodec() {}
@@ -92,6 +93,9 @@
       for (NodeRecord node : nodes.nodes()) {
         writeNode(out, node);
       }
+    } else if (message instanceof PeerMessage.Recall recall) {
+      out.packInt(RECALL);
+      writeStatus(out, recall.status());
     } else if (message instanceof PeerMessage.Moves moves) {
       out.packInt(MOVES).packInt(moves.grants().size());
       for (MoveGrant grant : moves.grants()) {
@@ -133,6 +137,7 @@
         }
         yield new PeerMessage.Nodes(nodes);
       }
+      case RECALL -> new PeerMessage.Recall(readStatus(in));
       case MOVES -> {
         int count = readCount(in);
         List<MoveGrant> grants = new ArrayList<>();
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -50,6 +50,9 @@
   /** Nodes that the sender knows. */
   record Nodes(List<NodeRecord> nodes) implements PeerMessage {}
 
+  /** What the sender remembers of the target beside the receiver: that it announced its leaving. */
+  record Recall(TargetStatus status) implements PeerMessage {}
+
   /** Grants of moves in force at the sender, and moves that have ended. */
   record Moves(List<MoveGrant> grants) implements PeerMessage {}
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
@@ -1,16 +1,23 @@
 package org.acaciapond.mesh.target;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Life of the target beside this node, from its check-ins. A check-in of an older lifetime or of a
- * lower sequence changes nothing, and no lifetime that announced its leaving becomes ready again.
+ * lower sequence changes nothing, and no lifetime that announced its leaving becomes ready again,
+ * even if this node started after the announcement and learns of it from others.
  */
 public final class TargetLifecycle {
 
+  private static final int FIRST_SEQUENCES = 2;
+  private static final int MAX_LEFT = 1_000;
+
   private @Nullable CheckIn latest;
   private Phase phase = Phase.UNKNOWN;
   private long goneBornMs = Long.MIN_VALUE;
+  private final Map<String, Long> leftAtMs = new HashMap<>();
 
   /** Applies a check-in; returns whether the phase, the lifetime or the description changed. */
   public boolean accept(CheckIn checkIn) {
@@ -30,7 +37,7 @@
         return acceptNext(held, checkIn);
       }
     }
-    if (checkIn.bornMs() <= goneBornMs) {
+    if (checkIn.bornMs() <= goneBornMs || hasLeft(checkIn)) {
       return false;
     }
     latest = checkIn;
@@ -50,21 +57,28 @@
         || (held.coldMs() > 0 && next.coldMs() == 0);
   }
 
+  // A message of leaving does not say which lifetime of the id it means. A start after it is a new
+  // lifetime; so is one whose check-ins count from the beginning, should the clocks differ.
+  private boolean hasLeft(CheckIn checkIn) {
+    Long atMs = leftAtMs.get(checkIn.id());
+    return atMs != null && checkIn.bornMs() <= atMs && checkIn.sequence() > FIRST_SEQUENCES;
+  }
+
   /**
    * Applies a deregistration; returns whether it ended the lifetime that is held.
    *
    * @param id id that leaves
    * @param bornMs start of that lifetime, or 0 when the message does not say
+   * @param nowMs Unix time of the message
    */
-  public boolean deregister(String id, long bornMs) {
+  public boolean deregister(String id, long bornMs, long nowMs) {
     CheckIn held = latest;
-    if (held == null) {
-      // The lifetime was never seen here: no later check-in of it may open the door.
-      goneBornMs = Math.max(goneBornMs, bornMs);
-      return false;
-    }
-    if (!held.id().equals(id) || (bornMs != 0 && bornMs != held.bornMs())) {
+    if (held == null || !held.id().equals(id) || (bornMs != 0 && bornMs != held.bornMs())) {
+      // The lifetime is not held here: no later check-in of it may open the door.
       goneBornMs = Math.max(goneBornMs, bornMs);
+      if (held == null && leftAtMs.size() < MAX_LEFT) {
+        leftAtMs.put(id, nowMs);
+      }
       return false;
     }
     boolean changed = phase != Phase.GONE;
@@ -73,6 +87,21 @@
     return changed;
   }
 
+  /** Applies what another node remembers of the target; returns whether the phase changed. */
+  public boolean recall(String id, long bornMs, Phase recalled) {
+    if (recalled != Phase.DRAINING && recalled != Phase.GONE) {
+      return false;
+    }
+    goneBornMs = Math.max(goneBornMs, bornMs);
+    CheckIn held = latest;
+    boolean same = held != null && held.id().equals(id) && held.bornMs() == bornMs;
+    if (same && phase == Phase.READY) {
+      phase = recalled;
+      return true;
+    }
+    return false;
+  }
+
   /** Returns the phase. */
   public Phase phase() {
     return phase;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -38,6 +38,8 @@
             new TargetStatus("i", 1, "s", "v1", Phase.DRAINING, 9, 30, true, 4),
             new TargetLoad(1, 2, 3, 4),
             8));
+    assertSurvives(
+        new PeerMessage.Recall(new TargetStatus("i", 1, "s", "v", Phase.GONE, 0, 0, false, 2)));
     assertSurvives(new PeerMessage.Cancel(3));
     assertSurvives(new PeerMessage.Ping(1));
     assertSurvives(new PeerMessage.Pong(1));
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
@@ -40,7 +40,7 @@
   @Test
   void sameIdWithNewBirthIsNewLifetimeAndCountsFromTheStart() {
     lifecycle.accept(checkIn("a", 100, 50, false));
-    lifecycle.deregister("a", 100);
+    lifecycle.deregister("a", 100, 5_000);
     assertEquals(Phase.GONE, lifecycle.phase());
     assertFalse(lifecycle.accept(checkIn("a", 100, 51, false)));
     assertTrue(lifecycle.accept(checkIn("a", 300, 1, false)));
@@ -50,14 +50,33 @@
   @Test
   void leavingOfOlderLifetimeDoesNotEndNewOne() {
     lifecycle.accept(checkIn("a", 300, 1, false));
-    assertFalse(lifecycle.deregister("a", 100));
+    assertFalse(lifecycle.deregister("a", 100, 5_000));
     assertEquals(Phase.READY, lifecycle.phase());
   }
 
   @Test
   void leavingSeenBeforeAnyCheckInKeepsTheDoorShut() {
-    lifecycle.deregister("a", 100);
+    lifecycle.deregister("a", 100, 5_000);
     assertFalse(lifecycle.accept(checkIn("a", 100, 7, false)));
     assertEquals(Phase.UNKNOWN, lifecycle.phase());
   }
+
+  @Test
+  void leavingWithoutBirthBeforeAnyCheckInKeepsTheDoorShutForThatLifetime() {
+    lifecycle.deregister("a", 0, 5_000);
+    assertFalse(lifecycle.accept(checkIn("a", 100, 30, false)));
+    assertEquals(Phase.UNKNOWN, lifecycle.phase());
+    assertTrue(lifecycle.accept(checkIn("a", 6_000, 4, false)));
+  }
+
+  @Test
+  void leavingThatOthersRememberShutsTheDoorOfRestartedNode() {
+    assertTrue(lifecycle.accept(checkIn("a", 100, 30, false)));
+    assertTrue(lifecycle.recall("a", 100, Phase.GONE));
+    assertEquals(Phase.GONE, lifecycle.phase());
+    TargetLifecycle later = new TargetLifecycle();
+    later.recall("a", 100, Phase.DRAINING);
+    assertFalse(later.accept(checkIn("a", 100, 31, false)));
+    assertTrue(later.accept(checkIn("b", 200, 1, false)));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -45,6 +45,11 @@
   private static final int UNREADY_MS = 2_300;
   // The platform kills a process at the end of the grace time; requests get five sixths of it.
   private static final double GRACE_SHARE = 0.9;
+  // Peers tell a node that starts again what they remember of its target; without any the door
+  // opens after the longer time.
+  private static final int SETTLE_AFTER_PEER_MS = 100;
+  private static final int SETTLE_WITHOUT_PEER_MS = 1_500;
+  private static final int SETTLE_CHECK_MS = 50;
   private static final int STOP_CHECK_MS = 50;
   private static final int QUIET_MS = 300;
   private static final int ASK_PEER_DELAY_MS = 300;
@@ -190,12 +195,29 @@
     operatorFeed.start();
     nodeFeed.start();
     moves.start(network);
+    settleDoor();
     return Uni.join()
         .all(List.of(control.start(), network.start(), outbound.start(), ready.start()))
         .andFailFast()
         .replaceWithVoid();
   }
 
+  private void settleDoor() {
+    long startNanos = time.nanoTime();
+    vertx.setPeriodic(
+        SETTLE_CHECK_MS,
+        id -> {
+          boolean waited = (time.nanoTime() - startNanos) / 1_000_000 >= SETTLE_WITHOUT_PEER_MS;
+          if (network.connectedPeers() > 0) {
+            vertx.cancelTimer(id);
+            vertx.setTimer(SETTLE_AFTER_PEER_MS, timer -> door.settle());
+          } else if (waited) {
+            vertx.cancelTimer(id);
+            door.settle();
+          }
+        });
+  }
+
   /** Compares changed settings with those in force; addresses take effect at the next start. */
   public void reload(SidecarSettings changed) {
     boolean same = changed.equals(settings);
@@ -227,6 +249,9 @@
                   STOP_CHECK_MS,
                   id -> {
                     long nowNanos = time.nanoTime();
+                    if (nowNanos - startNanos > UNREADY_MS * 1_000_000L) {
+                      router.refuseNew();
+                    }
                     if (router.open() > 0 || door.pending() > 0) {
                       quietSinceNanos[0] = nowNanos;
                     }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -42,6 +42,7 @@
   final TimeSource time;
   private final DesiredStateHolder states;
   private final DoubleSupplier random;
+  private boolean refusing;
   private final Set<RoutedRequest> open = new LinkedHashSet<>();
 
   /** Creates a router. */
@@ -74,6 +75,11 @@
     this.time = time;
   }
 
+  /** Refuses all further requests, because the node ends. */
+  public void refuseNew() {
+    refusing = true;
+  }
+
   /** Returns the requests that have no answer yet. */
   public int open() {
     return open.size();
@@ -87,6 +93,10 @@
       refuse(exchange, id, Reason.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_MS);
       return;
     }
+    if (refusing) {
+      refuse(exchange, id, Reason.CLOSED, 0);
+      return;
+    }
     String host = exchange.header("host");
     Route route = host == null ? null : table.match(host, exchange.uri());
     if (route == null) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -53,6 +53,7 @@
   private Consumer<TargetStatus> onStatus = status -> {};
   private double failureShare;
   private boolean nodeLeaving;
+  private boolean settled;
   private long statusNumber;
 
   /** One call at the door. */
@@ -173,7 +174,7 @@
 
   /** Applies a deregistration of the target. */
   public void leave(String id, long bornMs) {
-    boolean changed = lifecycle.deregister(id, bornMs);
+    boolean changed = lifecycle.deregister(id, bornMs, time.now().toEpochMilli());
     metrics.checkIn("leave");
     log.event("target_left", "id", id, "born_ms", bornMs, "held", changed);
     if (changed) {
@@ -181,6 +182,25 @@
     }
   }
 
+  /** Applies what another node remembers of the target from before this node's start. */
+  public void recall(TargetStatus remembered) {
+    boolean changed = lifecycle.recall(remembered.id(), remembered.bornMs(), remembered.phase());
+    log.event(
+        "target_recalled", "id", remembered.id(), "phase", remembered.phase(), "held", changed);
+    if (changed) {
+      statusChanged();
+    }
+  }
+
+  /** Opens the door: from now on what the target says of itself counts. */
+  public void settle() {
+    if (!settled) {
+      settled = true;
+      log.event("door_settled", "phase", lifecycle.phase());
+      statusChanged();
+    }
+  }
+
   /** Tells the others that this node shuts down. */
   public void nodeLeaves() {
     nodeLeaving = true;
@@ -196,7 +216,7 @@
   private void statusChanged() {
     statusNumber++;
     CheckIn held = lifecycle.latest();
-    boolean open = lifecycle.phase() == Phase.READY && held != null;
+    boolean open = settled && lifecycle.phase() == Phase.READY && held != null;
     queue.slots(open && held != null ? held.slots() : 0);
     if (open) {
       apply(queue.fill(time.nanoTime()));
@@ -215,9 +235,8 @@
   /** Returns the status for other nodes. */
   public TargetStatus status() {
     CheckIn held = lifecycle.latest();
-    if (held == null) {
-      return new TargetStatus(
-          "", 0, service, "", lifecycle.phase(), 0, 0, nodeLeaving, statusNumber);
+    if (held == null || !settled) {
+      return new TargetStatus("", 0, service, "", Phase.UNKNOWN, 0, 0, nodeLeaving, statusNumber);
     }
     return new TargetStatus(
         held.id(),
@@ -282,7 +301,7 @@
 
   private @Nullable Reason closedReason(MeshCall call) {
     CheckIn held = lifecycle.latest();
-    if (held == null || lifecycle.phase() != Phase.READY) {
+    if (!settled || held == null || lifecycle.phase() != Phase.READY) {
       return Reason.CLOSED;
     }
     return held.id().equals(call.targetId()) ? null : Reason.OTHER_TARGET;
@@ -321,7 +340,7 @@
         connection -> send(call, connection),
         error -> {
           failed();
-          log.event("target_unreachable", "error", error.getMessage());
+          log.request("target_unreachable", "id", call.call.id(), "error", error.getMessage());
           call.end(refused(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
   }
@@ -371,7 +390,12 @@
 
   private boolean belongs(MeshCall call, List<String> answer) {
     String id = HttpMessage.header(answer, names.callId());
-    return id == null || id.equals(call.id());
+    if (id != null) {
+      return id.equals(call.id());
+    }
+    // A target may turn a request away without naming it; any other answer without an id may be a
+    // late one to an earlier request.
+    return HttpMessage.header(answer, names.notRun()) != null;
   }
 
   private void onAnswer(DoorCall doorCall, HttpAnswer answer) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -78,6 +78,7 @@
   private final Map<String, PeerLink> links = new LinkedHashMap<>();
   private final Map<PeerSocket, Inbound> inbound = new HashMap<>();
   private final Map<String, Candidate> candidates = new LinkedHashMap<>();
+  private final Map<String, TargetStatus> leavers = new HashMap<>();
   private volatile Map<String, List<Candidate>> byService = Map.of();
   private @Nullable NetServer server;
   private long timer = -1;
@@ -175,7 +176,7 @@
 
   /** Returns whether at least one other node is connected or none is known. */
   public boolean connectedToAny() {
-    return links.isEmpty() || links.values().stream().anyMatch(PeerLink::connected);
+    return links.isEmpty() || connectedPeers() > 0;
   }
 
   /** Sends a call to a target and returns how to give it up. */
@@ -205,6 +206,11 @@
     };
   }
 
+  /** Returns how many nodes this one is connected to. */
+  public int connectedPeers() {
+    return (int) links.values().stream().filter(PeerLink::connected).count();
+  }
+
   /** Returns the lowest key among this node and those it is connected to. */
   public String lowestKey() {
     String lowest = self.key();
@@ -288,6 +294,10 @@
       if (link != null) {
         link.wake();
       }
+      TargetStatus leaver = leavers.get(hello.node().key());
+      if (leaver != null) {
+        socket.send(new PeerMessage.Recall(leaver));
+      }
     } else if (message instanceof PeerMessage.StateRequest) {
       socket.send(new PeerMessage.StateRows(states.rows()));
     } else if (message instanceof PeerMessage.Evidence evidence) {
@@ -320,7 +330,7 @@
 
   private void check() {
     links.values().forEach(PeerLink::check);
-    metrics.peers((int) links.values().stream().filter(PeerLink::connected).count());
+    metrics.peers(connectedPeers());
   }
 
   private void index() {
@@ -363,6 +373,8 @@
         nodes.nodes().forEach(PeerNetwork.this::learn);
       } else if (message instanceof PeerMessage.StateRows rows) {
         states.accept(rows.rows());
+      } else if (message instanceof PeerMessage.Recall recall) {
+        door.recall(recall.status());
       } else if (message instanceof PeerMessage.Moves told) {
         moves.accept(told.grants());
       }
@@ -370,7 +382,9 @@
 
     private void onStatus(PeerLink link, PeerMessage.Status message) {
       TargetStatus status = message.status();
+      remember(link.node().key(), status);
       Candidate held = candidates.get(link.node().key());
+      boolean changed = held == null || held.status().number() != status.number();
       if (held == null) {
         held = new Candidate(link.node().key(), link.node().zone(), status);
         candidates.put(link.node().key(), held);
@@ -384,7 +398,7 @@
       }
       held.report(message.load(), time.nanoTime());
       held.coldUntil(time.nanoTime() + status.coldMs() * 1_000_000L);
-      if (status.phase() != Phase.READY || status.nodeLeaving()) {
+      if (changed && !status.open()) {
         log.event(
             "peer_target",
             "peer",
@@ -398,5 +412,15 @@
       }
       states.peerHolds(message.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
     }
+
+    // A node that starts again beside a target that announced its leaving knows nothing of it.
+    private void remember(String key, TargetStatus status) {
+      TargetStatus leaver = leavers.get(key);
+      if (status.phase() == Phase.DRAINING || status.phase() == Phase.GONE) {
+        leavers.put(key, status);
+      } else if (leaver != null && status.bornMs() > leaver.bornMs()) {
+        leavers.remove(key);
+      }
+    }
   }
 }
