--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -0,0 +1,309 @@
+package org.acaciapond.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpAnswer;
+import org.acaciapond.standin.StandInStore;
+import org.acaciapond.standin.StoreFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Whole nodes on loopback against the stand-ins; each test names the failure it guards against. */
+class SidecarProcessTest {
+
+  private static final Duration WAIT = Duration.ofSeconds(20);
+  private static final AtomicLong NUMBERS = new AtomicLong();
+  // All machines of a test share the loopback address, so hosts select services, not clients.
+  private static final String STATE =
+      """
+      {"version":%d,
+       "routes":{"columns":["name","host","path_prefix","kind","timeout_ms","target_latency_ms",
+         "priority","service","max_attempts"],
+        "rows":[["r1","a","/views/","idempotent",8000,4000,2,"orders",3],
+                ["r2","a","/orders/","non_idempotent",8000,4000,1,"orders",3]%s]},
+       "services":{"columns":["name","health_check_path","max_connections"],
+        "rows":[["orders","/health",100],["other","/health",100]]},
+       "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000}}
+      """;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final List<TestMachine> machines = new ArrayList<>();
+  private StandInStore store;
+
+  @BeforeEach
+  void startStore() {
+    store = new StandInStore(vertx, TestMachine.HOST, 0, TimeSource.system());
+    store.start().await().atMost(WAIT);
+    store.put("op", "config", STATE.formatted(1, ""));
+  }
+
+  @AfterEach
+  void stop() {
+    machines.forEach(TestMachine::close);
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private TestMachine machine(String key, String service) {
+    TestMachine machine = new TestMachine(key, service, "i-" + key, store);
+    machines.add(machine);
+    return machine;
+  }
+
+  private static void eventually(String what, BooleanSupplier condition)
+      throws InterruptedException {
+    long end = System.nanoTime() + WAIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, what);
+      Thread.sleep(20);
+    }
+  }
+
+  private static String nextId() {
+    return "c" + NUMBERS.incrementAndGet();
+  }
+
+  private HttpRequest request(TestMachine from, String method, String path, String id) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + from.settings.outbound().port() + path))
+        .method(method, HttpRequest.BodyPublishers.noBody())
+        .header("X-Attempt-Id", id)
+        .header("X-Timeout-Ms", "8000")
+        .build();
+  }
+
+  private HttpResponse<String> send(TestMachine from, String method, String path, String id) {
+    try {
+      return client.send(request(from, method, path, id), HttpResponse.BodyHandlers.ofString());
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int status(TestMachine from, String path) {
+    return send(from, "GET", path, nextId()).statusCode();
+  }
+
+  // The JDK's client sends the address as host; the state names it.
+  private void hostIsLoopback() {
+    store.put("op", "config", STATE.formatted(2, "").replace("\"a\"", "\"127.0.0.1\""));
+  }
+
+  private TestMachine[] orderMesh(int targets) throws InterruptedException {
+    hostIsLoopback();
+    TestMachine[] mesh = new TestMachine[targets + 1];
+    mesh[0] = machine("caller", "other");
+    for (int i = 1; i <= targets; i++) {
+      mesh[i] = machine("n" + i, "orders");
+      mesh[i].checkIn(false);
+    }
+    eventually("the mesh serves", () -> status(mesh[0], "/views/1") == 200);
+    for (int i = 1; i <= targets; i++) {
+      TestMachine each = mesh[i];
+      eventually("each node serves", () -> status(each, "/views/1") == 200);
+    }
+    return mesh;
+  }
+
+  @Test
+  void answerOfTheTargetIsReturnedUnchanged() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    HttpResponse<String> response = send(mesh[0], "POST", "/orders/7?q=1", "x1");
+    assertEquals(200, response.statusCode());
+    assertEquals("ran /orders/7?q=1", response.body());
+    assertEquals("signed-by-i-n1", response.headers().firstValue("X-Server-Signature").orElse(""));
+    assertEquals(404, status(mesh[0], "/none/1"));
+  }
+
+  @Test
+  void drainingTargetGetsNothingWhateverOtherNodesBelieve() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].checkIn(true);
+    eventually("refused", () -> status(mesh[0], "/views/1") == 503);
+    int runs = mesh[1].target.runs();
+    for (int i = 0; i < 20; i++) {
+      assertEquals(503, status(mesh[0], "/views/" + i));
+    }
+    assertEquals(runs, mesh[1].target.runs());
+  }
+
+  @Test
+  void requestThatMayRunOnlyOnceIsNotSentAgainAfterItsConnectionBroke() throws Exception {
+    TestMachine[] mesh = orderMesh(2);
+    for (int i = 1; i <= 2; i++) {
+      mesh[i].target.behaviour(
+          exchange -> new HttpAnswer(200, List.of("X-Attempt-Id", "not-this"), new byte[0]));
+    }
+    AtomicLong arrivals = new AtomicLong();
+    for (int i = 1; i <= 2; i++) {
+      mesh[i].target.behaviour(
+          exchange -> {
+            arrivals.incrementAndGet();
+            return new HttpAnswer(
+                200,
+                List.of("X-Attempt-Id", String.valueOf(exchange.header("X-Attempt-Id"))),
+                new byte[0]);
+          });
+    }
+    assertEquals(502, send(mesh[0], "POST", "/orders/1", nextId()).statusCode());
+    assertEquals(1, arrivals.get());
+  }
+
+  @Test
+  void unsignedSuccessIsRepeatedElsewhereWhereTheRouteAllows() throws Exception {
+    TestMachine[] mesh = orderMesh(2);
+    mesh[1].target.behaviour(
+        exchange ->
+            new HttpAnswer(
+                200,
+                List.of("X-Attempt-Id", String.valueOf(exchange.header("X-Attempt-Id"))),
+                "forged".getBytes(StandardCharsets.UTF_8)));
+    for (int i = 0; i < 10; i++) {
+      HttpResponse<String> response = send(mesh[0], "GET", "/views/" + i, nextId());
+      assertTrue(!response.body().equals("forged"), "a forged answer was passed on");
+    }
+  }
+
+  @Test
+  void targetNeverRunsMoreThanItsSlots() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].target.workMs(60);
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      TestMachine from = mesh[i % 2];
+      answers.add(
+          client.sendAsync(
+              request(from, "GET", "/views/" + i, nextId()), HttpResponse.BodyHandlers.ofString()));
+    }
+    for (CompletableFuture<HttpResponse<String>> answer : answers) {
+      int status = answer.get(WAIT.toSeconds(), TimeUnit.SECONDS).statusCode();
+      assertTrue(status == 200 || status == 503, "status " + status);
+    }
+    assertTrue(mesh[1].target.mostWorking() <= 4, "ran " + mesh[1].target.mostWorking());
+  }
+
+  @Test
+  void refusedRequestHasNotRun() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].target.workMs(400);
+    List<String> ids = new ArrayList<>();
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < 120; i++) {
+      String id = nextId();
+      ids.add(id);
+      answers.add(
+          client.sendAsync(
+              request(mesh[0], "POST", "/orders/" + i, id), HttpResponse.BodyHandlers.ofString()));
+    }
+    for (int i = 0; i < ids.size(); i++) {
+      int status = answers.get(i).get(WAIT.toSeconds(), TimeUnit.SECONDS).statusCode();
+      if (status == 503) {
+        assertEquals(0, mesh[1].target.runs(ids.get(i)));
+      }
+      assertTrue(mesh[1].target.runs(ids.get(i)) <= 1);
+    }
+  }
+
+  @Test
+  void nodeThatStartsAgainDoesNotReopenLifetimeThatLeft() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].leave();
+    eventually("refused", () -> status(mesh[0], "/views/1") == 503);
+    mesh[1].kill();
+    mesh[1].start();
+    int runs = mesh[1].target.runs();
+    for (int i = 0; i < 40; i++) {
+      mesh[1].checkIn(false);
+      assertEquals(503, status(mesh[0], "/views/" + i));
+      Thread.sleep(50);
+    }
+    assertEquals(runs, mesh[1].target.runs());
+  }
+
+  @Test
+  void nodeThatStartsWhileTheStoreIsAwayServesFromItsPeers() throws Exception {
+    TestMachine[] mesh = orderMesh(2);
+    store.fault(StoreFault.BUSY);
+    mesh[2].kill();
+    mesh[2].start();
+    mesh[2].checkIn(false);
+    eventually("serves again", () -> status(mesh[2], "/views/1") == 200);
+  }
+
+  @Test
+  void newStateTakesEffectAndAnOlderOneNeverReturns() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
+    store.put("op", "config", STATE.formatted(5, more).replace("\"a\"", "\"127.0.0.1\""));
+    eventually("new route", () -> status(mesh[0], "/new/1") == 200);
+    store.put("op", "config", STATE.formatted(3, "").replace("\"a\"", "\"127.0.0.1\""));
+    store.compact();
+    for (int i = 0; i < 10; i++) {
+      assertEquals(200, status(mesh[0], "/new/1"));
+      Thread.sleep(50);
+    }
+  }
+
+  @Test
+  void stateArrivesAfterTheHistoryWasDropped() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    store.compact();
+    String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
+    store.put("op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
+    eventually("new route", () -> status(mesh[0], "/new/1") == 200);
+  }
+
+  @Test
+  void requestsUnderWayEndBeforeStoppedNode() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].target.workMs(1_500);
+    CompletableFuture<HttpResponse<String>> answer =
+        client.sendAsync(
+            request(mesh[0], "GET", "/views/1", nextId()), HttpResponse.BodyHandlers.ofString());
+    Thread.sleep(200);
+    CompletableFuture<Void> stopped = mesh[0].stop();
+    assertEquals(200, answer.get(WAIT.toSeconds(), TimeUnit.SECONDS).statusCode());
+    stopped.get(WAIT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  @Test
+  void workForClientThatLeftEnds() throws Exception {
+    TestMachine[] mesh = orderMesh(1);
+    mesh[1].target.workMs(60_000);
+    try (java.net.Socket socket =
+        new java.net.Socket("127.0.0.1", mesh[0].settings.outbound().port())) {
+      socket
+          .getOutputStream()
+          .write(
+              "GET /views/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: left\r\n\r\n"
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      eventually("it runs", () -> mesh[1].target.runs("left") == 1);
+    }
+    mesh[1].target.workMs(5);
+    // Its slot is free again: as many calls as there are slots run at once.
+    for (int i = 0; i < 8; i++) {
+      assertEquals(200, status(mesh[0], "/views/" + i));
+    }
+    eventually("target is idle", () -> mesh[1].target.working() == 0);
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -0,0 +1,113 @@
+package org.acaciapond.sidecar;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.acaciapond.adapter.HttpMeshStore;
+import org.acaciapond.adapter.JsonPlatformCodec;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.platform.SocketAddressSetting;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.standin.StandInStore;
+import org.acaciapond.standin.StandInTarget;
+
+/** A machine on loopback: a target, and a node beside it that can be killed and started again. */
+final class TestMachine {
+
+  static final String HOST = "127.0.0.1";
+  private static final Duration WAIT = Duration.ofSeconds(20);
+
+  final StandInTarget target;
+  final SidecarSettings settings;
+  private final Vertx targetVertx;
+  private Vertx nodeVertx = Vertx.vertx();
+  private SidecarProcess process;
+  private long sequence;
+
+  TestMachine(String key, String service, String targetId, StandInStore store) {
+    targetVertx = Vertx.vertx();
+    target = new StandInTarget(targetVertx, targetId, service, HOST, 0, TimeSource.system());
+    target.start().await().atMost(WAIT);
+    settings =
+        new SidecarSettings(
+            key,
+            "z",
+            service,
+            address(),
+            address(),
+            address(),
+            address(),
+            new SocketAddressSetting(HOST, target.port()),
+            new SocketAddressSetting(HOST, store.port()),
+            256,
+            new SidecarSettings.Bounds(2_000, 6_000, 2_000, 0.2, 60, 10_000, 0.1, 50, 5_000));
+    start();
+  }
+
+  private static SocketAddressSetting address() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new SocketAddressSetting(HOST, socket.getLocalPort());
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  void start() {
+    EventLog log =
+        new EventLog(
+            settings.nodeKey(),
+            new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8),
+            TimeSource.system());
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    Vertx vertx = nodeVertx;
+    vertx.runOnContext(
+        on -> {
+          process =
+              new SidecarProcess(
+                  vertx,
+                  settings,
+                  new JsonPlatformCodec(1 << 20),
+                  new HttpMeshStore(vertx, settings.store(), TimeSource.system()),
+                  log,
+                  TimeSource.system());
+          process
+              .start()
+              .subscribe()
+              .with(done -> started.complete(null), started::completeExceptionally);
+        });
+    started.orTimeout(20, java.util.concurrent.TimeUnit.SECONDS).join();
+  }
+
+  /** Ends the node at once, as a kill does. */
+  void kill() {
+    nodeVertx.close().toCompletionStage().toCompletableFuture().join();
+    nodeVertx = Vertx.vertx();
+  }
+
+  /** Asks the node to stop, as the platform does. */
+  CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    nodeVertx.runOnContext(on -> process.stop().subscribe().with(done -> stopped.complete(null)));
+    return stopped;
+  }
+
+  void checkIn(boolean draining) {
+    sequence++;
+    target.checkIn(HOST, settings.control().port(), "v1", 4, draining, sequence);
+  }
+
+  void leave() {
+    target.leave(HOST, settings.control().port());
+  }
+
+  void close() {
+    nodeVertx.close().toCompletionStage().toCompletableFuture().join();
+    targetVertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+}
