--- a/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
+++ b/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
@@ -25,7 +25,14 @@
     "org.acaciapond.membership..",
     "org.acaciapond.distribution..",
     "org.acaciapond.routing..",
-    "org.acaciapond.rollout.."
+    "org.acaciapond.rollout..",
+    "org.acaciapond.mesh.route..",
+    "org.acaciapond.mesh.target..",
+    "org.acaciapond.mesh.admission..",
+    "org.acaciapond.mesh.retry..",
+    "org.acaciapond.mesh.move..",
+    "org.acaciapond.mesh.call..",
+    "org.acaciapond.mesh.peer.."
   };
 
   @ArchTest
@@ -73,6 +80,9 @@
           .resideInAnyPackage(
               "org.acaciapond.protocol..",
               "org.acaciapond.platform..",
+              "org.acaciapond.adapter..",
+              "org.acaciapond.http..",
+              "org.acaciapond.sidecar..",
               "org.acaciapond.node..",
               "org.acaciapond.cli..",
               "org.acaciapond.bench..");
@@ -86,6 +96,30 @@
           .dependOnClassesThat()
           .resideInAnyPackage("org.acaciapond.cli..", "org.acaciapond.bench..");
 
+  @ArchTest
+  static final ArchRule onlyTheEntryPointKnowsTheAdapter =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages("org.acaciapond.adapter..", "org.acaciapond.standin..")
+          .and()
+          .doNotHaveFullyQualifiedName("org.acaciapond.sidecar.SidecarMain")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.acaciapond.adapter..", "org.acaciapond.standin..");
+
+  @ArchTest
+  static final ArchRule adapterDoesNotDecide =
+      noClasses()
+          .that()
+          .resideInAPackage("org.acaciapond.adapter..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.acaciapond.mesh.admission..",
+              "org.acaciapond.mesh.retry..",
+              "org.acaciapond.rollout..",
+              "org.acaciapond.sidecar..");
+
   @ArchTest
   static final ArchRule membershipKnowsNoConfiguration =
       noClasses()
