Try a second target beside a first one that stays out unusually long

A second target is tried when the time is unusual for the route, the second answer can still be in time and a slot is free, within the budget and the attempts of the route.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.retry.AttemptTimes;
 import org.acaciapond.mesh.retry.RepeatBudget;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.Route;
@@ -48,6 +49,7 @@
   private final DesiredStateHolder states;
   private final DoubleSupplier random;
   final List<String> carriedHeaders;
+  final AttemptTimes times = new AttemptTimes();
   private final Map<String, Double> answerBytes = new HashMap<>();
   private boolean refusing;
   private final Set<RoutedRequest> open = new LinkedHashSet<>();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -19,9 +19,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One request between its reading and its answer. It is sent to one target at a time. A refusal of
- * a node is free to be tried elsewhere; what may have reached a target is repeated only if the
- * route allows it, within the attempts of the route and the budget of repeats.
+ * One request between its reading and its answer. A refusal of a node is free to be tried
+ * elsewhere; what may have reached a target is repeated only if the route allows it, within the
+ * attempts of the route and the budget of repeats. A repeatable request whose answer stays out for
+ * unusually long is tried at a second target beside the first, and the first answer counts.
  */
 final class RoutedRequest {
 
@@ -32,6 +33,7 @@
   private static final int AVOID_AFTER_FAILURE_MS = 300;
   // Less time than this does not suffice for another call to a target.
   private static final int MIN_REPEAT_LEFT_MS = 10;
+  private static final double SECOND_TRY_MOST_BUSY = 0.7;
 
   private final RequestRouter router;
   private final HttpExchange exchange;
@@ -44,8 +46,8 @@
   private final double draw;
   private final int rank;
   private final Set<String> tried = new HashSet<>();
-  private @Nullable Candidate current;
-  private @Nullable Runnable giveUp;
+  private final List<Attempt> open = new ArrayList<>();
+  private @Nullable Candidate last;
   private @Nullable MeshReply failure;
   private int sentToTargets;
   private int refusals;
@@ -54,6 +56,20 @@
   private boolean mayHaveRun;
   private boolean ended;
   private long timer = -1;
+  private long secondTryTimer = -1;
+
+  /** One call to a node that has not ended. */
+  private static final class Attempt {
+    final Candidate candidate;
+    final long startNanos;
+    boolean done;
+    @Nullable Runnable giveUp;
+
+    Attempt(Candidate candidate, long startNanos) {
+      this.candidate = candidate;
+      this.startNanos = startNanos;
+    }
+  }
 
   RoutedRequest(
       RequestRouter router,
@@ -93,27 +109,35 @@
   }
 
   private void next() {
-    int leftMs = leftMs();
-    if (leftMs <= 0) {
+    if (leftMs() <= 0) {
       deadlineReached();
       return;
     }
+    Candidate chosen = choose();
+    if (chosen != null) {
+      send(chosen);
+    } else if (open.isEmpty()) {
+      endWithoutTarget();
+    }
+  }
+
+  private @Nullable Candidate choose() {
     List<Candidate> candidates = router.network.candidates(service);
     Predicate<Candidate> version =
         router.versions.forRequest(service, candidates, tried.isEmpty() ? draw : 1);
-    Candidate chosen =
-        router.chooser.choose(
-            candidates,
-            candidate -> !tried.contains(candidate.node()) && version.test(candidate),
-            router.answerBytes(route.name()),
-            router.time.nanoTime());
-    if (chosen == null) {
-      endWithoutTarget();
-      return;
-    }
+    return router.chooser.choose(
+        candidates,
+        candidate -> !tried.contains(candidate.node()) && version.test(candidate),
+        router.answerBytes(route.name()),
+        router.time.nanoTime());
+  }
+
+  private void send(Candidate chosen) {
     tried.add(chosen.node());
-    current = chosen;
-    int objectiveLeftMs = (int) ((objectiveNanos - router.time.nanoTime()) / 1_000_000);
+    last = chosen;
+    long nowNanos = router.time.nanoTime();
+    int leftMs = leftMs();
+    int objectiveLeftMs = (int) ((objectiveNanos - nowNanos) / 1_000_000);
     MeshCall call =
         new MeshCall(
             id,
@@ -128,20 +152,77 @@
             router.settings.service(),
             chosen.status().id(),
             route.repeatable());
-    boolean[] done = {false};
-    Runnable cancel =
-        router.network.call(
-            chosen,
-            call,
-            reply -> {
-              done[0] = true;
-              if (!ended) {
-                giveUp = null;
-                onReply(chosen, reply);
-              }
-            });
-    if (!done[0]) {
-      giveUp = cancel;
+    Attempt attempt = new Attempt(chosen, nowNanos);
+    open.add(attempt);
+    Runnable giveUp = router.network.call(chosen, call, reply -> replied(attempt, reply));
+    if (!attempt.done) {
+      attempt.giveUp = giveUp;
+      planSecondTry(objectiveLeftMs, leftMs);
+    }
+  }
+
+  private void planSecondTry(int objectiveLeftMs, int leftMs) {
+    if (!route.repeatable() || open.size() != 1 || ended) {
+      return;
+    }
+    int afterMs = router.times.secondTryAfterMs(route.name(), objectiveLeftMs, leftMs);
+    router.vertx.cancelTimer(secondTryTimer);
+    if (afterMs > 0) {
+      secondTryTimer = router.vertx.setTimer(afterMs, timerId -> secondTry());
+    }
+  }
+
+  private void secondTry() {
+    if (ended || open.size() != 1) {
+      return;
+    }
+    Candidate chosen = choose();
+    long nowNanos = router.time.nanoTime();
+    // With no free slot elsewhere a second run would only delay others.
+    if (chosen == null
+        || chosen.avoided(nowNanos)
+        || chosen.pending(nowNanos) >= SECOND_TRY_MOST_BUSY * chosen.status().slots()
+        || !mayRepeat()) {
+      return;
+    }
+    Attempt first = open.get(0);
+    router.log.request(
+        "second_try",
+        "id",
+        id,
+        "route",
+        route.name(),
+        "first",
+        first.candidate.node(),
+        "second",
+        chosen.node(),
+        "after_ms",
+        (nowNanos - first.startNanos) / 1_000_000);
+    send(chosen);
+  }
+
+  private void replied(Attempt attempt, MeshReply reply) {
+    attempt.done = true;
+    attempt.giveUp = null;
+    open.remove(attempt);
+    if (!ended) {
+      if (reply.outcome() == Outcome.ANSWERED && reply.status() < 300) {
+        router.times.add(route.name(), (router.time.nanoTime() - attempt.startNanos) / 1_000_000.0);
+      }
+      onReply(attempt.candidate, reply);
+    }
+  }
+
+  private void giveUpOpen() {
+    List<Attempt> left = new ArrayList<>(open);
+    open.clear();
+    for (Attempt attempt : left) {
+      Runnable giveUp = attempt.giveUp;
+      attempt.giveUp = null;
+      if (giveUp != null && !attempt.done) {
+        attempt.done = true;
+        giveUp.run();
+      }
     }
   }
 
@@ -178,25 +259,28 @@
         sentToTargets++;
         avoid(from, AVOID_AFTER_FAILURE_MS);
         retryAfterMs = Math.min(retryAfterMs, reply.retryAfterMs());
-        if (mayRepeat()) {
-          next();
-        } else {
-          endWithoutTarget();
-        }
+        repeatOrEnd(true);
       }
       case UNKNOWN -> {
         sentToTargets++;
         mayHaveRun = true;
         avoid(from, AVOID_AFTER_FAILURE_MS);
-        if (route.repeatable() && mayRepeat()) {
-          next();
-        } else {
-          endWithoutTarget();
-        }
+        repeatOrEnd(route.repeatable());
       }
     }
   }
 
+  private void repeatOrEnd(boolean allowed) {
+    if (!open.isEmpty()) {
+      return;
+    }
+    if (allowed && mayRepeat()) {
+      next();
+    } else {
+      endWithoutTarget();
+    }
+  }
+
   private void tellWitness(Candidate from, MeshReply reply) {
     boolean failed = reply.outcome() == Outcome.UNKNOWN || reply.status() >= 500;
     if (reply.outcome() == Outcome.ANSWERED || reply.outcome() == Outcome.UNKNOWN) {
@@ -215,10 +299,8 @@
     if (reply.status() >= 500 && reply.status() != 504 && route.repeatable()) {
       mayHaveRun = true;
       failure = reply;
-      if (mayRepeat()) {
-        next();
-        return;
-      }
+      repeatOrEnd(true);
+      return;
     }
     pass(reply);
   }
@@ -247,6 +329,9 @@
     } else if (reply.reason() == Reason.UNREACHABLE) {
       avoid(from, AVOID_AFTER_FAILURE_MS);
     }
+    if (!open.isEmpty()) {
+      return;
+    }
     if (refusals >= MAX_REFUSALS && reply.reason() == Reason.FULL) {
       endWithoutTarget();
     } else {
@@ -256,7 +341,7 @@
 
   // The first send to a target is free, each further one draws on the budget.
   private boolean mayRepeat() {
-    if (sentToTargets >= route.maxAttempts() || leftMs() < MIN_REPEAT_LEFT_MS) {
+    if (sentToTargets + open.size() >= route.maxAttempts() || leftMs() < MIN_REPEAT_LEFT_MS) {
       return false;
     }
     boolean allowed =
@@ -285,31 +370,20 @@
   }
 
   private void deadlineReached() {
-    Runnable cancel = giveUp;
-    giveUp = null;
-    Candidate slow = current;
-    if (cancel != null && slow != null) {
+    for (Attempt attempt : open) {
       // The answer would have been at least this slow.
-      router.witness.saw(slow, route.name(), CallResult.SUCCESS, limitMs * 1_000.0);
+      router.witness.saw(attempt.candidate, route.name(), CallResult.SUCCESS, limitMs * 1_000.0);
     }
-    if (failure != null && cancel == null) {
+    if (failure != null && open.isEmpty()) {
       endWithoutTarget();
       return;
     }
-    int status = cancel != null || mayHaveRun ? 504 : 503;
+    int status = !open.isEmpty() || mayHaveRun ? 504 : 503;
     finish(status, "deadline", HttpAnswer.empty(status, List.of()));
-    if (cancel != null) {
-      cancel.run();
-    }
   }
 
   private void clientLeft() {
-    Runnable cancel = giveUp;
-    giveUp = null;
     finish(0, "client_left", null);
-    if (cancel != null) {
-      cancel.run();
-    }
   }
 
   private void finish(int status, String end, @Nullable HttpAnswer answer) {
@@ -318,11 +392,12 @@
     }
     ended = true;
     router.vertx.cancelTimer(timer);
+    router.vertx.cancelTimer(secondTryTimer);
     router.ended(this);
     long nanos = router.time.nanoTime() - exchange.receivedNanos();
     router.metrics.request(end, nanos);
     if (!end.equals("answered")) {
-      Candidate last = current;
+      Candidate tried = last;
       router.log.request(
           "request_ended",
           "id",
@@ -346,10 +421,11 @@
           "refusals",
           refusals,
           "last_peer",
-          last == null ? "" : last.node());
+          tried == null ? "" : tried.node());
     }
     if (answer != null) {
       exchange.answer(answer);
     }
+    giveUpOpen();
   }
 }
