Rank calls of running requests by their id, serve other nodes longer on stop

A call names its request in its id, and that request must be running at the own door. Repeats of calls are now counted where they begin, which leaves more of the budget to own repeats.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
@@ -17,6 +17,7 @@
  * @param callerService service beside which the request began
  * @param targetId lifetime that the caller chose
  * @param repeatable whether the request may run more than once
+ * @param repeat whether this run counts against the budget of repeats
  */
 public record MeshCall(
     String id,
@@ -30,4 +31,5 @@
     String route,
     String callerService,
     String targetId,
-    boolean repeatable) {}
+    boolean repeatable,
+    boolean repeat) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -231,7 +231,7 @@
     writeBytes(out, call.body());
     out.packInt(call.leftMs()).packInt(call.objectiveLeftMs()).packInt(call.rank());
     out.packString(call.route()).packString(call.callerService()).packString(call.targetId());
-    out.packBoolean(call.repeatable());
+    out.packBoolean(call.repeatable()).packBoolean(call.repeat());
   }
 
   private static MeshCall readCall(MessageUnpacker in) throws IOException {
@@ -247,6 +247,7 @@
         in.unpackString(),
         in.unpackString(),
         in.unpackString(),
+        in.unpackBoolean(),
         in.unpackBoolean());
   }
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/PlatformCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/PlatformCodec.java
@@ -10,6 +10,9 @@
   /** Returns the names of the call headers. */
   CallHeaders headers();
 
+  /** Returns the id of the request that a call with this id was made for, or null. */
+  @Nullable String parentId(String callId);
+
   /** Returns the path of the readiness question. */
   String readyPath();
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RepeatBudget.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RepeatBudget.java
@@ -65,6 +65,12 @@
     return true;
   }
 
+  /** Counts a repeat that the node cannot prevent, such as a call of a run that was one itself. */
+  public void repeated(String service, long nowNanos) {
+    Window window = window(service, nowNanos);
+    window.repeats[(int) Math.floorMod(window.bucket, BUCKETS)]++;
+  }
+
   private Window window(String service, long nowNanos) {
     long bucket = Math.floorDiv(nowNanos, bucketNanos);
     Window window = windows.get(service);
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -59,7 +59,7 @@
     byte[] body = "body".getBytes(StandardCharsets.UTF_8);
     MeshCall call =
         new MeshCall(
-            "id", "POST", "/a?b", List.of("h", "v"), body, 500, -3, -1, "r", "s", "i", false);
+            "id", "POST", "/a?b", List.of("h", "v"), body, 500, -3, -1, "r", "s", "i", false, true);
     PeerMessage.Call read =
         assertInstanceOf(
             PeerMessage.Call.class,
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RepeatBudgetTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RepeatBudgetTest.java
@@ -24,6 +24,14 @@
     assertTrue(budget.tryRepeat("s", 1, 11_000 * MS));
   }
 
+  @Test
+  void repeatsThatCannotBePreventedUseUpTheBudget() {
+    RepeatBudget budget = new RepeatBudget(0.1, 2, 10_000);
+    budget.repeated("s", 0);
+    budget.repeated("s", 0);
+    assertFalse(budget.tryRepeat("s", 1, 0));
+  }
+
   /**
    * Guards against a fleet that repeats more than the contract allows while its nodes cannot talk:
    * each node asks for far more than its part, and the sum is checked in every window.
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -43,6 +43,8 @@
   private static final Duration FEED_WAIT = Duration.ofSeconds(25);
   // Clients stop to use a machine after two missed readiness questions, one a second.
   private static final int UNREADY_MS = 2_300;
+  // Other nodes use the target until most of their calls could no longer end before the process.
+  private static final int DOOR_LEAVES_MS = 1_200;
   // The platform kills a process at the end of the grace time; requests get five sixths of it.
   private static final double GRACE_SHARE = 0.9;
   // Peers tell a node that starts again what they remember of its target; without any the door
@@ -53,10 +55,9 @@
   private static final int STOP_CHECK_MS = 50;
   private static final int QUIET_MS = 300;
   private static final int ASK_PEER_DELAY_MS = 300;
-  // Repeats make their targets repeat nested calls, which count at the services called; half of
-  // the contract's ratio is left for them.
-  private static final double OWN_REPEAT_RATIO_SHARE = 0.5;
-  private static final double OWN_SLACK_SHARE = 0.5;
+  // The rest is room for windows that do not coincide and for nodes that are not known yet.
+  private static final double OWN_REPEAT_RATIO_SHARE = 0.7;
+  private static final double OWN_SLACK_SHARE = 0.6;
 
   private final Vertx vertx;
   private final SidecarSettings settings;
@@ -118,19 +119,8 @@
     TargetChooser chooser = new TargetChooser(self.key(), self.zone(), random);
     router =
         new RequestRouter(
-            vertx,
-            settings,
-            codec.headers(),
-            states,
-            network,
-            chooser,
-            budget,
-            moves,
-            moves,
-            log,
-            metrics,
-            random,
-            time);
+            vertx, settings, codec, door, states, network, chooser, budget, moves, moves, log,
+            metrics, random, time);
     registry = new NodeRegistry(vertx, store, self, network::learn, log, metrics, random);
     operatorFeed =
         new StoreFeed(
@@ -238,8 +228,8 @@
     }
     stopping = true;
     log.event("stop", "open", router.open(), "at_target", door.pending());
-    door.nodeLeaves();
     outbound.closeConnectionsAfterAnswers();
+    vertx.setTimer(DOOR_LEAVES_MS, id -> door.nodeLeaves());
     long startNanos = time.nanoTime();
     return Uni.createFrom()
         .emitter(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -12,8 +12,10 @@
 import org.acaciapond.http.HttpAnswer;
 import org.acaciapond.http.HttpExchange;
 import org.acaciapond.mesh.admission.CallClass;
+import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
+import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.retry.AttemptTimes;
 import org.acaciapond.mesh.retry.RepeatBudget;
@@ -21,6 +23,7 @@
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
 import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.sidecar.door.TargetDoor;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
@@ -38,6 +41,8 @@
   final Vertx vertx;
   final SidecarSettings settings;
   final CallHeaders names;
+  private final PlatformCodec codec;
+  private final TargetDoor door;
   final PeerNetwork network;
   final TargetChooser chooser;
   final RepeatBudget budget;
@@ -58,7 +63,8 @@
   public RequestRouter(
       Vertx vertx,
       SidecarSettings settings,
-      CallHeaders names,
+      PlatformCodec codec,
+      TargetDoor door,
       DesiredStateHolder states,
       PeerNetwork network,
       TargetChooser chooser,
@@ -71,7 +77,9 @@
       TimeSource time) {
     this.vertx = vertx;
     this.settings = settings;
-    this.names = names;
+    this.codec = codec;
+    this.door = door;
+    this.names = codec.headers();
     this.carriedHeaders =
         List.of(names.callId(), names.timeoutMs(), names.targetId(), names.callerService());
     this.states = states;
@@ -133,7 +141,8 @@
     }
     int clientTimeoutMs = timeoutMs(exchange.header(names.timeoutMs()));
     int limitMs = Math.min(clientTimeoutMs, route.timeoutMs());
-    boolean nested = exchange.clientHost().equals(settings.target().host());
+    String parentId = codec.parentId(id);
+    MeshCall parent = parentId == null ? null : door.running(parentId);
     String service = route.serviceFor(random.getAsDouble());
     RoutedRequest request =
         new RoutedRequest(
@@ -144,9 +153,13 @@
             service,
             limitMs,
             random.getAsDouble(),
-            nested ? CallClass.RANK_NESTED : route.priority());
+            parent != null ? CallClass.RANK_NESTED : route.priority(),
+            parent != null && parent.repeat());
     open.add(request);
     budget.request(service, time.nanoTime());
+    if (parent != null && parent.repeat()) {
+      budget.repeated(service, time.nanoTime());
+    }
     request.start();
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -45,6 +45,7 @@
   private final long objectiveNanos;
   private final double draw;
   private final int rank;
+  private final boolean ofRepeat;
   private final Set<String> tried = new HashSet<>();
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Candidate last;
@@ -79,7 +80,8 @@
       String service,
       int limitMs,
       double draw,
-      int rank) {
+      int rank,
+      boolean ofRepeat) {
     this.router = router;
     this.exchange = exchange;
     this.id = id;
@@ -88,6 +90,7 @@
     this.limitMs = limitMs;
     this.draw = draw;
     this.rank = rank;
+    this.ofRepeat = ofRepeat;
     this.deadlineNanos = exchange.receivedNanos() + limitMs * 1_000_000L;
     int objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
     this.objectiveNanos = exchange.receivedNanos() + objectiveMs * 1_000_000L;
@@ -151,7 +154,8 @@
             route.name(),
             router.settings.service(),
             chosen.status().id(),
-            route.repeatable());
+            route.repeatable(),
+            ofRepeat || sentToTargets + open.size() > 0);
     Attempt attempt = new Attempt(chosen, nowNanos);
     open.add(attempt);
     Runnable giveUp = router.network.call(chosen, call, reply -> replied(attempt, reply));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -278,6 +278,16 @@
     return sum / atTarget.size() / 1e3;
   }
 
+  /** Returns the call of an id that runs in the target, or null. */
+  public @Nullable MeshCall running(String callId) {
+    for (DoorCall each : atTarget) {
+      if (each.call.id().equals(callId)) {
+        return each.call;
+      }
+    }
+    return null;
+  }
+
   /** Returns the calls that run or wait. */
   public int pending() {
     return queue.running() + queue.queued();
