--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
@@ -15,12 +15,6 @@
  */
 public final class DoorQueue<T> {
 
-  // A refusal after a long wait costs its caller more than an early one, so less urgent calls may
-  // only use a part of the time that they could wait.
-  private static final double URGENT_WAIT_SHARE = 0.8;
-  private static final double NORMAL_WAIT_SHARE = 0.5;
-  private static final double LATE_WAIT_SHARE = 0.25;
-  private static final int URGENT_RANK = 1;
   // Running calls are on average half done.
   private static final double RESIDUAL_SHARE = 0.5;
   private static final int MIN_RETRY_AFTER_MS = 20;
@@ -101,12 +95,11 @@
   }
 
   private static double limitUs(CallClass type, double workUs, long nowNanos) {
-    double slackUs = (type.objectiveAtNanos() - nowNanos) / 1000.0 - workUs;
-    if (slackUs > 0) {
-      return slackUs * (type.rank() <= URGENT_RANK ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
-    }
-    double lateSlackUs = (type.deadlineNanos() - nowNanos) / 1000.0 - workUs;
-    return Math.max(0, lateSlackUs * LATE_WAIT_SHARE);
+    return WaitLimit.us(
+        type.rank(),
+        (type.objectiveAtNanos() - nowNanos) / 1000.0,
+        (type.deadlineNanos() - nowNanos) / 1000.0,
+        workUs);
   }
 
   // Calls behind the new one that would now miss their deadline are refused while it is early.
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
@@ -0,0 +1,32 @@
+package org.acaciapond.mesh.admission;
+
+/**
+ * Longest wait for a slot that is worth beginning. A refusal after a long wait costs its caller
+ * more than an early one, so less urgent calls may only use a part of the time that they could
+ * wait.
+ */
+public final class WaitLimit {
+
+  private static final double URGENT_WAIT_SHARE = 0.8;
+  private static final double NORMAL_WAIT_SHARE = 0.5;
+  private static final double LATE_WAIT_SHARE = 0.25;
+  private static final int URGENT_RANK = 1;
+
+  private WaitLimit() {}
+
+  /**
+   * Returns the limit in microseconds.
+   *
+   * @param rank order of admission
+   * @param objectiveLeftUs time left until the answer loses worth
+   * @param leftUs time left until the deadline
+   * @param workUs expected time in the target
+   */
+  public static double us(int rank, double objectiveLeftUs, double leftUs, double workUs) {
+    double slackUs = objectiveLeftUs - workUs;
+    if (slackUs > 0) {
+      return slackUs * (rank <= URGENT_RANK ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
+    }
+    return Math.max(0, (leftUs - workUs) * LATE_WAIT_SHARE);
+  }
+}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import org.acaciapond.mesh.admission.WaitLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,10 +17,14 @@
   private static final double FAILURE_WEIGHT = 10;
   // Bytes between failure domains are paid for, so a call leaves its domain only when it would wait
   // there: a target with a free slot stays cheaper than an idle one elsewhere.
-  private static final double OTHER_DOMAIN_SHARE = 0.5;
-  private static final double OTHER_DOMAIN_SHARE_A_KB = 0.12;
-  private static final double MAX_OTHER_DOMAIN_SHARE = 1.3;
+  private static final double OTHER_DOMAIN_SHARE = 1.0;
+  private static final double OTHER_DOMAIN_SHARE_A_KB = 0.1;
+  private static final double MAX_OTHER_DOMAIN_SHARE = 1.6;
+  // The node beside the target decides with exact figures; a call that it would most likely refuse
+  // is not sent, as sending costs both sides.
+  private static final double CERTAIN_REFUSAL_FACTOR = 1.5;
   private static final double OTHER_NODE_SHARE = 0.02;
+  private static final double MIN_WAIT_US = 5_000;
   private static final double BUSY_SHARE = 0.5;
   private static final double NOISE_SHARE = 0.05;
   private static final double AVOIDED_FACTOR = 1000;
@@ -42,14 +47,13 @@
   }
 
   /**
-   * Returns the candidate with the lowest expected time among those that pass, or null.
-   *
-   * @param answerBytes expected length of the answer, which weighs between domains
+   * Returns the candidate with the lowest expected time among those that pass and that would most
+   * likely take the request, or null.
    */
   public @Nullable Candidate choose(
-      List<Candidate> candidates, Predicate<Candidate> allowed, double answerBytes, long nowNanos) {
+      List<Candidate> candidates, Predicate<Candidate> allowed, Demand demand, long nowNanos) {
     double typicalUs = typicalServiceUs(candidates);
-    double share = OTHER_DOMAIN_SHARE + OTHER_DOMAIN_SHARE_A_KB * answerBytes / 1_000;
+    double share = OTHER_DOMAIN_SHARE + OTHER_DOMAIN_SHARE_A_KB * demand.answerBytes() / 1_000;
     double otherDomainUs = Math.min(MAX_OTHER_DOMAIN_SHARE, share) * typicalUs;
     Candidate best = null;
     double bestCost = Double.POSITIVE_INFINITY;
@@ -57,7 +61,7 @@
       if (!candidate.status().open() || !allowed.test(candidate)) {
         continue;
       }
-      double cost = cost(candidate, typicalUs, otherDomainUs, nowNanos);
+      double cost = cost(candidate, typicalUs, otherDomainUs, demand, nowNanos);
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -66,13 +70,22 @@
     return best;
   }
 
-  private double cost(Candidate candidate, double typicalUs, double otherDomainUs, long nowNanos) {
+  private double cost(
+      Candidate candidate, double typicalUs, double otherDomainUs, Demand demand, long nowNanos) {
     int slots = Math.max(1, candidate.status().slots());
     double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double pending = candidate.pending(nowNanos);
     // Below the slots a further call waits for none, but a nearly full target may be slower.
     double busy = pending / slots;
     double waiting = pending < slots ? BUSY_SHARE * busy : (pending + 1) / slots;
+    if (pending >= slots) {
+      double waitUs = (pending - slots + 1) / slots * serviceUs;
+      double limitUs =
+          WaitLimit.us(demand.rank(), demand.objectiveLeftUs(), demand.leftUs(), serviceUs);
+      if (waitUs > CERTAIN_REFUSAL_FACTOR * limitUs + MIN_WAIT_US) {
+        return Double.POSITIVE_INFINITY;
+      }
+    }
     double cost = serviceUs * (1 + waiting);
     if (!candidate.zone().equals(localZone)) {
       cost += otherDomainUs;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -8,6 +8,8 @@
 
 class TargetChooserTest {
 
+  private static final Demand DEMAND = new Demand(1_000, 1, 400_000, 800_000);
+
   private final TargetChooser chooser = new TargetChooser("n1", "z1", () -> 0);
 
   private static Candidate candidate(String node, String zone, Phase phase) {
@@ -21,8 +23,8 @@
     Candidate near = candidate("n2", "z1", Phase.READY);
     Candidate far = candidate("n3", "z2", Phase.READY);
     List<Candidate> all = List.of(far, near, own);
-    assertEquals(own, chooser.choose(all, each -> true, 1_000, 0));
-    assertEquals(near, chooser.choose(all, each -> each != own, 1_000, 0));
+    assertEquals(own, chooser.choose(all, each -> true, DEMAND, 0));
+    assertEquals(near, chooser.choose(all, each -> each != own, DEMAND, 0));
   }
 
   @Test
@@ -31,7 +33,7 @@
     Candidate far = candidate("n3", "z2", Phase.READY);
     own.report(new TargetLoad(2, 6, 60_000, 0), 0);
     far.report(new TargetLoad(0, 0, 60_000, 0), 0);
-    assertEquals(far, chooser.choose(List.of(own, far), each -> true, 1_000, 0));
+    assertEquals(far, chooser.choose(List.of(own, far), each -> true, DEMAND, 0));
   }
 
   @Test
@@ -40,12 +42,21 @@
     Candidate far = candidate("n3", "z2", Phase.READY);
     own.report(new TargetLoad(0, 0, 60_000, 450), 0);
     far.report(new TargetLoad(0, 0, 60_000, 0), 0);
-    assertEquals(far, chooser.choose(List.of(own, far), each -> true, 1_000, 0));
+    assertEquals(far, chooser.choose(List.of(own, far), each -> true, DEMAND, 0));
+  }
+
+  @Test
+  void requestThatEveryTargetWouldRefuseIsNotSent() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    own.report(new TargetLoad(2, 40, 60_000, 0), 0);
+    assertNull(chooser.choose(List.of(own), each -> true, DEMAND, 0));
+    // The report ages; the target is tried again.
+    assertEquals(own, chooser.choose(List.of(own), each -> true, DEMAND, 2_000_000_000L));
   }
 
   @Test
   void leavingTargetIsNeverChosen() {
     Candidate leaving = candidate("n1", "z1", Phase.DRAINING);
-    assertNull(chooser.choose(List.of(leaving), each -> true, 1_000, 0));
+    assertNull(chooser.choose(List.of(leaving), each -> true, DEMAND, 0));
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -15,6 +15,7 @@
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.mesh.target.Demand;
 import org.acaciapond.rollout.evidence.CallResult;
 import org.jspecify.annotations.Nullable;
 
@@ -27,7 +28,8 @@
 final class RoutedRequest {
 
   // Each refusal costs a round trip; with more of them the whole service is most likely full.
-  private static final int MAX_REFUSALS = 3;
+  private static final int MAX_REFUSALS = 2;
+  private static final int MIN_FULL_RETRY_MS = 20;
   private static final int NO_TARGET_RETRY_MS = 150;
   private static final int AVOID_AFTER_REFUSAL_MS = 20;
   private static final int AVOID_AFTER_FAILURE_MS = 300;
@@ -120,19 +122,39 @@
     if (chosen != null) {
       send(chosen);
     } else if (open.isEmpty()) {
+      noteFullTargets();
       endWithoutTarget();
     }
   }
 
+  // Where targets are open but none would take the request, it is refused here for their load.
+  private void noteFullTargets() {
+    long nowNanos = router.time.nanoTime();
+    for (Candidate candidate : router.network.candidates(service)) {
+      if (candidate.status().open() && !tried.contains(candidate.node())) {
+        lastReason = Reason.FULL;
+        int slots = Math.max(1, candidate.status().slots());
+        double waitUs = candidate.pending(nowNanos) / slots * candidate.serviceUs();
+        retryAfterMs =
+            Math.min(retryAfterMs, Math.max(MIN_FULL_RETRY_MS, (int) (waitUs / 1_000 / 2)));
+      }
+    }
+  }
+
   private @Nullable Candidate choose() {
     List<Candidate> candidates = router.network.candidates(service);
     Predicate<Candidate> version =
         router.versions.forRequest(service, candidates, tried.isEmpty() ? draw : 1);
+    long nowNanos = router.time.nanoTime();
     return router.chooser.choose(
         candidates,
         candidate -> !tried.contains(candidate.node()) && version.test(candidate),
-        router.answerBytes(route.name()),
-        router.time.nanoTime());
+        new Demand(
+            router.answerBytes(route.name()),
+            rank,
+            (objectiveNanos - nowNanos) / 1e3,
+            (deadlineNanos - nowNanos) / 1e3),
+        nowNanos);
   }
 
   private void send(Candidate chosen) {
@@ -182,9 +204,11 @@
     }
     Candidate chosen = choose();
     long nowNanos = router.time.nanoTime();
-    // With no free slot elsewhere a second run would only delay others.
+    // With no free slot a second run would only delay others, and one in another domain costs
+    // bytes.
     if (chosen == null
         || chosen.avoided(nowNanos)
+        || !chosen.zone().equals(router.settings.zone())
         || chosen.pending(nowNanos) >= SECOND_TRY_MOST_BUSY * chosen.status().slots()
         || !mayRepeat()) {
       return;
