--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
@@ -10,6 +10,7 @@
  * @param ready address of the readiness question
  * @param control address for check-ins of the target
  * @param peer address for other nodes
+ * @param metrics address of the metrics
  * @param target address of the target
  * @param store address of the platform's store
  * @param memoryMb memory that the process may use
@@ -23,6 +24,7 @@
     SocketAddressSetting ready,
     SocketAddressSetting control,
     SocketAddressSetting peer,
+    SocketAddressSetting metrics,
     SocketAddressSetting target,
     SocketAddressSetting store,
     int memoryMb,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -78,6 +78,7 @@
   private final HttpListener outbound;
   private final HttpListener ready;
   private final HttpListener control;
+  private final HttpListener metricsListener;
   private boolean stopping;
   private boolean readyLogged;
 
@@ -140,6 +141,7 @@
         new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
     outbound = listener(settings.outbound(), this::clientLimits, router::handle);
     control = listener(settings.control(), () -> CONTROL_LIMITS, controlEndpoint::handle);
+    metricsListener = listener(settings.metrics(), () -> CONTROL_LIMITS, statusEndpoint::handle);
     ready = listener(settings.ready(), () -> CONTROL_LIMITS, statusEndpoint::handle);
   }
 
@@ -186,6 +188,11 @@
     nodeFeed.start();
     moves.start(network);
     settleDoor();
+    // A node serves without its metrics, should their port be taken.
+    metricsListener
+        .start()
+        .subscribe()
+        .with(done -> {}, error -> log.event("metrics_not_served", "error", error.getMessage()));
     return Uni.join()
         .all(List.of(control.start(), network.start(), outbound.start(), ready.start()))
         .andFailFast()
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -43,6 +43,7 @@
             address(),
             address(),
             address(),
+            address(),
             new SocketAddressSetting(HOST, target.port()),
             new SocketAddressSetting(HOST, store.port()),
             256,
