--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -1,6 +1,5 @@
 package org.acaciapond.http;
 
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -53,7 +52,7 @@
   private @Nullable Listener listener;
   private @Nullable HttpResponse head;
   private List<String> headers = List.of();
-  private @Nullable CompositeByteBuf body;
+  private final BodyBuffer body = new BodyBuffer();
   private boolean skipping;
   private boolean reusable = true;
   private boolean closed;
@@ -195,12 +194,9 @@
   }
 
   private void onContent(HttpContent content) {
-    if (!skipping && content.content().isReadable()) {
-      if (body == null) {
-        body = Unpooled.compositeBuffer(256);
-      }
-      body.addComponent(true, content.content().retain());
-      if (body.readableBytes() > maxBodyBytes) {
+    if (!skipping) {
+      body.add(content.content());
+      if (body.size() > maxBodyBytes) {
         fail(true, "answer is longer than " + maxBodyBytes + " bytes");
         close();
         return;
@@ -226,7 +222,7 @@
       return;
     }
     readConnectionHeaders(ended, lengthKnown);
-    HttpAnswer answer = new HttpAnswer(ended.status().code(), headers, takeBody());
+    HttpAnswer answer = new HttpAnswer(ended.status().code(), headers, body.take());
     Listener to = listener;
     listener = null;
     request = null;
@@ -272,24 +268,12 @@
     return Long.MAX_VALUE;
   }
 
-  private byte[] takeBody() {
-    CompositeByteBuf held = body;
-    if (held == null) {
-      return new byte[0];
-    }
-    body = null;
-    byte[] bytes = new byte[held.readableBytes()];
-    held.readBytes(bytes);
-    held.release();
-    return bytes;
-  }
-
   private void fail(boolean badAnswer, String message) {
     reusable = false;
     Listener to = listener;
     listener = null;
     request = null;
-    takeBody();
+    body.take();
     if (to != null) {
       to.failed(badAnswer, message);
     }
--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -21,6 +21,16 @@
 
   /** What a listener reports besides requests. */
   public interface Events {
+    /** Receiver that ignores everything. */
+    Events NONE =
+        new Events() {
+          @Override
+          public void rejected(int status, String clientHost) {}
+
+          @Override
+          public void connectionFailed(String message) {}
+        };
+
     /** A request could not be taken and was answered with a status of the listener. */
     void rejected(int status, String clientHost);
 
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -1,7 +1,5 @@
 package org.acaciapond.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -47,7 +45,7 @@
   private final Deque<HttpExchange> exchanges = new ArrayDeque<>();
   private final ServerLimits limits;
   private @Nullable HttpExchange reading;
-  private @Nullable CompositeByteBuf body;
+  private final BodyBuffer body = new BodyBuffer();
   private long partialSinceNanos = Long.MIN_VALUE;
   private long idleSinceNanos;
   private boolean closing;
@@ -140,20 +138,13 @@
   }
 
   private void onContent(HttpExchange exchange, HttpContent content) {
-    ByteBuf bytes = content.content();
-    int held = body == null ? 0 : body.readableBytes();
-    if (held + bytes.readableBytes() > limits.maxBodyBytes()) {
+    if (body.size() + content.content().readableBytes() > limits.maxBodyBytes()) {
       reject(413);
       return;
     }
-    if (bytes.isReadable()) {
-      if (body == null) {
-        body = Unpooled.compositeBuffer(256);
-      }
-      body.addComponent(true, bytes.retain());
-    }
+    body.add(content.content());
     if (content instanceof LastHttpContent) {
-      exchange.body(takeBody());
+      exchange.body(body.take());
       reading = null;
       partialSinceNanos = Long.MIN_VALUE;
       exchanges.add(exchange);
@@ -165,22 +156,10 @@
     }
   }
 
-  private byte[] takeBody() {
-    CompositeByteBuf held = body;
-    if (held == null) {
-      return new byte[0];
-    }
-    body = null;
-    byte[] bytes = new byte[held.readableBytes()];
-    held.readBytes(bytes);
-    held.release();
-    return bytes;
-  }
-
   // Answers a request that cannot be taken, after those before it, and closes the connection.
   private void reject(int status) {
     closing = true;
-    takeBody();
+    body.take();
     HttpExchange exchange = new HttpExchange(this, "", "", List.of(), false, time.nanoTime());
     reading = null;
     exchanges.add(exchange);
@@ -261,7 +240,7 @@
   private void onClose() {
     closed = true;
     listener.removed(this);
-    takeBody();
+    body.take();
     List<HttpExchange> left = new ArrayList<>(exchanges);
     exchanges.clear();
     left.forEach(HttpExchange::closed);
--- a/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
@@ -29,14 +29,6 @@
 
   @BeforeEach
   void start() {
-    HttpListener.Events events =
-        new HttpListener.Events() {
-          @Override
-          public void rejected(int status, String clientHost) {}
-
-          @Override
-          public void connectionFailed(String message) {}
-        };
     listener =
         new HttpListener(
             vertx,
@@ -44,7 +36,7 @@
             0,
             () -> new ServerLimits(1_024, 64, 60_000, 60_000),
             requests::add,
-            events,
+            HttpListener.Events.NONE,
             TimeSource.system());
     listener.start().await().atMost(Duration.ofSeconds(WAIT_S));
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -48,6 +48,7 @@
   private final double draw;
   private final int rank;
   private final boolean ofRepeat;
+  private final RequestLog log;
   private final Set<String> tried = new HashSet<>();
   private final List<Attempt> open = new ArrayList<>();
   private @Nullable Candidate last;
@@ -92,6 +93,7 @@
     this.limitMs = limitMs;
     this.draw = draw;
     this.rank = rank;
+    this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.ofRepeat = ofRepeat;
     this.deadlineNanos = exchange.receivedNanos() + limitMs * 1_000_000L;
     int objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
@@ -214,18 +216,7 @@
       return;
     }
     Attempt first = open.get(0);
-    router.log.request(
-        "second_try",
-        "id",
-        id,
-        "route",
-        route.name(),
-        "first",
-        first.candidate.node(),
-        "second",
-        chosen.node(),
-        "after_ms",
-        (nowNanos - first.startNanos) / 1_000_000);
+    log.secondTry(first.candidate, chosen, (nowNanos - first.startNanos) / 1_000_000);
     send(chosen);
   }
 
@@ -255,29 +246,9 @@
   }
 
   private void onReply(Candidate from, MeshReply reply) {
-    router.metrics.attempt(reply.reason().name().toLowerCase(Locale.ROOT));
+    log.attempt(from, reply, leftMs());
     if (reply.reason() != Reason.NONE) {
       lastReason = reply.reason();
-      router.log.request(
-          "attempt_failed",
-          "id",
-          id,
-          "route",
-          route.name(),
-          "peer",
-          from.node(),
-          "target",
-          from.status().id(),
-          "outcome",
-          reply.outcome(),
-          "reason",
-          reply.reason(),
-          "running",
-          reply.load().running(),
-          "queued",
-          reply.load().queued(),
-          "left_ms",
-          leftMs());
     }
     tellWitness(from, reply);
     switch (reply.outcome()) {
@@ -423,34 +394,23 @@
     router.vertx.cancelTimer(secondTryTimer);
     router.ended(this);
     long nanos = router.time.nanoTime() - exchange.receivedNanos();
-    router.metrics.request(end, nanos);
-    if (!end.equals("answered")) {
-      Candidate tried = last;
-      router.log.request(
-          "request_ended",
-          "id",
-          id,
-          "end",
-          end,
-          "status",
-          status,
-          "route",
-          route.name(),
-          "rank",
-          rank,
-          "service",
-          service,
-          "limit_ms",
-          limitMs,
-          "after_ms",
-          nanos / 1_000_000,
-          "sent",
-          sentToTargets,
-          "refusals",
-          refusals,
-          "last_peer",
-          tried == null ? "" : tried.node());
-    }
+    Candidate tried = last;
+    log.ended(
+        end,
+        status,
+        nanos,
+        "rank",
+        rank,
+        "service",
+        service,
+        "limit_ms",
+        limitMs,
+        "sent",
+        sentToTargets,
+        "refusals",
+        refusals,
+        "last_peer",
+        tried == null ? "" : tried.node());
     if (answer != null) {
       exchange.answer(answer);
     }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -1,20 +1,13 @@
 package org.acaciapond.sidecar.door;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
-import org.acaciapond.http.ClientRequest;
 import org.acaciapond.http.HttpAnswer;
-import org.acaciapond.http.HttpMessage;
 import org.acaciapond.mesh.admission.CallClass;
 import org.acaciapond.mesh.admission.DoorQueue;
 import org.acaciapond.mesh.admission.Offer;
-import org.acaciapond.mesh.admission.ServiceTimes;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
@@ -36,26 +29,21 @@
  */
 public final class TargetDoor {
 
-  private static final double FAILURE_SMOOTHING = 0.05;
   private static final int DEADLINE_GRACE_MS = 100;
   private static final int CLOSED_RETRY_AFTER_MS = 100;
-  private static final int MIN_AGED_CALLS = 2;
   private static final int SWEEP_INTERVAL_MS = 1_000;
 
   private final Vertx vertx;
-  private final CallHeaders names;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final String service;
   private final TargetLifecycle lifecycle = new TargetLifecycle();
-  private final ServiceTimes times = new ServiceTimes();
-  private final DoorQueue<DoorCall> queue = new DoorQueue<>(times);
+  private final TargetHealth health = new TargetHealth();
+  private final DoorQueue<DoorCall> queue = new DoorQueue<>(health.times());
   private final TargetConnections connections;
-  private final List<String> systemHeaders;
+  private final TargetExchange exchange;
   private Consumer<TargetStatus> onStatus = status -> {};
-  private double failureShare;
-  private final Set<DoorCall> atTarget = new LinkedHashSet<>();
   private boolean nodeLeaving;
   private boolean settled;
   private long statusNumber;
@@ -104,7 +92,7 @@
       vertx.cancelTimer(timer);
       if (running) {
         running = false;
-        atTarget.remove(this);
+        health.ended(call);
         apply(queue.release(time.nanoTime()));
       }
       done.accept(reply);
@@ -120,14 +108,12 @@
       NodeMetrics metrics,
       TimeSource time) {
     this.vertx = vertx;
-    this.names = names;
     this.log = log;
     this.metrics = metrics;
     this.time = time;
     this.service = settings.service();
     this.connections = new TargetConnections(vertx, settings.target(), metrics, time);
-    this.systemHeaders =
-        List.of(names.callId(), names.timeoutMs(), names.targetId(), names.callerService());
+    this.exchange = new TargetExchange(names);
     vertx.setPeriodic(SWEEP_INTERVAL_MS, id -> connections.sweep());
   }
 
@@ -156,8 +142,7 @@
     }
     if (before == null || before.bornMs() != held.bornMs()) {
       connections.closeIdle();
-      times.clear();
-      failureShare = 0;
+      health.clear();
     }
     log.event(
         "target_status",
@@ -258,34 +243,12 @@
 
   /** Returns the present load. */
   public TargetLoad load() {
-    return new TargetLoad(
-        queue.running(),
-        queue.queued(),
-        (int) Math.max(times.overallUs(), meanAgeUs()),
-        (int) Math.round(failureShare * 1000));
-  }
-
-  // Calls that have been under way for longer than calls take show a slow target before any ends.
-  private double meanAgeUs() {
-    if (atTarget.size() < MIN_AGED_CALLS) {
-      return 0;
-    }
-    long nowNanos = time.nanoTime();
-    double sum = 0;
-    for (DoorCall call : atTarget) {
-      sum += nowNanos - call.sentNanos;
-    }
-    return sum / atTarget.size() / 1e3;
+    return health.load(queue.running(), queue.queued(), time.nanoTime());
   }
 
   /** Returns the call of an id that runs in the target, or null. */
   public @Nullable MeshCall running(String callId) {
-    for (DoorCall each : atTarget) {
-      if (each.call.id().equals(callId)) {
-        return each.call;
-      }
-    }
-    return null;
+    return health.running(callId);
   }
 
   /** Returns the calls that run or wait. */
@@ -368,7 +331,7 @@
         call.repeatable,
         connection -> send(call, connection),
         error -> {
-          failed();
+          health.failed();
           log.request("target_unreachable", "id", call.call.id(), "error", error.getMessage());
           call.end(refused(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
@@ -389,17 +352,11 @@
       return;
     }
     MeshCall call = doorCall.call;
-    List<String> headers = new ArrayList<>(HttpMessage.endToEnd(call.headers(), systemHeaders));
-    add(headers, names.callId(), call.id());
-    add(headers, names.timeoutMs(), Integer.toString(leftMs));
-    add(headers, names.targetId(), call.targetId());
-    add(headers, names.callerService(), call.callerService());
     doorCall.connection = connection;
     doorCall.sentNanos = nowNanos;
-    atTarget.add(doorCall);
+    health.sent(call, nowNanos);
     connection.send(
-        new ClientRequest(
-            call.method(), call.uri(), headers, call.body(), answer -> belongs(call, answer)),
+        exchange.request(call, leftMs),
         new ClientConnection.Listener() {
           @Override
           public void answered(HttpAnswer answer) {
@@ -414,54 +371,38 @@
         });
   }
 
-  private static void add(List<String> headers, String name, String value) {
-    headers.add(name);
-    headers.add(value);
-  }
-
-  private boolean belongs(MeshCall call, List<String> answer) {
-    String id = HttpMessage.header(answer, names.callId());
-    if (id != null) {
-      return id.equals(call.id());
-    }
-    // A target may turn a request away without naming it; any other answer without an id may be a
-    // late one to an earlier request.
-    return HttpMessage.header(answer, names.notRun()) != null;
-  }
-
   private void onAnswer(DoorCall doorCall, HttpAnswer answer) {
     long runNanos = time.nanoTime() - doorCall.sentNanos;
     MeshCall call = doorCall.call;
-    boolean signed = HttpMessage.header(answer.headers(), names.signature()) != null;
-    boolean notRun = HttpMessage.header(answer.headers(), names.notRun()) != null;
-    if (notRun || answer.status() == 421) {
-      failed();
-      metrics.targetTime("not_run", runNanos);
-      log.request("target_refused", "id", call.id(), "status", answer.status());
-      doorCall.end(
-          MeshReply.without(Outcome.NOT_RUN, Reason.TURNED_AWAY, queue.retryAfterMs(), load()));
-      return;
-    }
-    boolean encoded = HttpMessage.header(answer.headers(), "content-encoding") != null;
-    boolean success = answer.status() < 300;
-    if (encoded || (success && !signed)) {
-      failed();
-      log.request("bad_answer", "id", call.id(), "status", answer.status(), "signed", signed);
-      doorCall.end(MeshReply.without(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
-      return;
-    }
-    failureShare += FAILURE_SMOOTHING * ((answer.status() >= 500 ? 1 : 0) - failureShare);
-    if (success) {
-      times.add(call.route(), runNanos / 1e3);
+    switch (exchange.meaning(answer)) {
+      case NOT_RUN -> {
+        health.failed();
+        metrics.targetTime("not_run", runNanos);
+        log.request("target_refused", "id", call.id(), "status", answer.status());
+        doorCall.end(
+            MeshReply.without(Outcome.NOT_RUN, Reason.TURNED_AWAY, queue.retryAfterMs(), load()));
+      }
+      case BAD -> {
+        health.failed();
+        log.request("bad_answer", "id", call.id(), "status", answer.status());
+        doorCall.end(MeshReply.without(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
+      }
+      case ANSWER -> {
+        health.answered(call, answer.status(), runNanos);
+        metrics.targetTime(answer.status() < 300 ? "ok" : "status_" + answer.status(), runNanos);
+        endAnswered(doorCall, answer, runNanos);
+      }
     }
-    metrics.targetTime(success ? "ok" : "status_" + answer.status(), runNanos);
+  }
+
+  private void endAnswered(DoorCall doorCall, HttpAnswer answer, long runNanos) {
     doorCall.end(
         new MeshReply(
             Outcome.ANSWERED,
             Reason.NONE,
             0,
             answer.status(),
-            HttpMessage.endToEnd(answer.headers(), List.of(names.callId())),
+            exchange.returned(answer),
             answer.body(),
             (int) Math.min(Integer.MAX_VALUE, runNanos / 1_000),
             load()));
@@ -471,7 +412,7 @@
     if (doorCall.ended) {
       return;
     }
-    failed();
+    health.failed();
     long runNanos = time.nanoTime() - doorCall.sentNanos;
     metrics.targetTime("broken", runNanos);
     log.request(
@@ -488,8 +429,4 @@
         MeshReply.without(
             Outcome.UNKNOWN, badAnswer ? Reason.BAD_ANSWER : Reason.BROKEN, 0, load()));
   }
-
-  private void failed() {
-    failureShare += FAILURE_SMOOTHING * (1 - failureShare);
-  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -24,7 +24,6 @@
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.target.Candidate;
-import org.acaciapond.mesh.target.Phase;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
 import org.acaciapond.sidecar.door.TargetDoor;
@@ -77,9 +76,7 @@
   private final NetClient client;
   private final Map<String, PeerLink> links = new LinkedHashMap<>();
   private final Map<PeerSocket, Inbound> inbound = new HashMap<>();
-  private final Map<String, Candidate> candidates = new LinkedHashMap<>();
-  private final Map<String, TargetStatus> leavers = new HashMap<>();
-  private volatile Map<String, List<Candidate>> byService = Map.of();
+  private final TargetView targets;
   private @Nullable NetServer server;
   private long timer = -1;
 
@@ -113,8 +110,8 @@
     this.client =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
     door.onStatus(this::ownStatusChanged);
-    candidates.put(self.key(), new Candidate(self.key(), self.zone(), door.status()));
-    index();
+    targets = new TargetView(time);
+    targets.apply(self.key(), self.zone(), door.status(), door.load());
   }
 
   @Override
@@ -167,7 +164,7 @@
 
   /** Returns the targets of a service that this node is connected to, its own among them. */
   public List<Candidate> candidates(String service) {
-    return byService.getOrDefault(service, List.of());
+    return targets.ofService(service);
   }
 
   /** Returns how many nodes are known, this one among them. */
@@ -246,11 +243,7 @@
   }
 
   private void ownStatusChanged(TargetStatus status) {
-    Candidate own = candidates.get(self.key());
-    if (own != null) {
-      own.status(status);
-      own.coldUntil(time.nanoTime() + status.coldMs() * 1_000_000L);
-    }
+    targets.apply(self.key(), self.zone(), status, door.load());
     publishStatus();
   }
 
@@ -295,7 +288,7 @@
       if (link != null) {
         link.wake();
       }
-      TargetStatus leaver = leavers.get(hello.node().key());
+      TargetStatus leaver = targets.leaver(hello.node().key());
       if (leaver != null) {
         socket.send(new PeerMessage.Recall(leaver));
       }
@@ -349,15 +342,6 @@
         });
   }
 
-  private void index() {
-    Map<String, List<Candidate>> next = new HashMap<>();
-    for (Candidate candidate : candidates.values()) {
-      next.computeIfAbsent(candidate.status().service(), service -> new ArrayList<>())
-          .add(candidate);
-    }
-    byService = next;
-  }
-
   /** What links tell, applied to the view of the mesh. */
   private final class LinkEvents implements PeerLink.Listener {
     @Override
@@ -369,8 +353,7 @@
     @Override
     public void disconnected(PeerLink link, String reason) {
       log.event("peer_lost", "peer", link.node().key(), "reason", reason);
-      candidates.remove(link.node().key());
-      index();
+      targets.remove(link.node().key());
     }
 
     @Override
@@ -398,22 +381,8 @@
 
     private void onStatus(PeerLink link, PeerMessage.Status message) {
       TargetStatus status = message.status();
-      remember(link.node().key(), status);
-      Candidate held = candidates.get(link.node().key());
-      boolean changed = held == null || held.status().number() != status.number();
-      if (held == null) {
-        held = new Candidate(link.node().key(), link.node().zone(), status);
-        candidates.put(link.node().key(), held);
-        index();
-      } else {
-        boolean otherService = !held.status().service().equals(status.service());
-        held.status(status);
-        if (otherService) {
-          index();
-        }
-      }
-      held.report(message.load(), time.nanoTime());
-      held.coldUntil(time.nanoTime() + status.coldMs() * 1_000_000L);
+      boolean changed =
+          targets.apply(link.node().key(), link.node().zone(), status, message.load());
       if (changed && !status.open()) {
         log.event(
             "peer_target",
@@ -428,15 +397,5 @@
       }
       states.peerHolds(message.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
     }
-
-    // A node that starts again beside a target that announced its leaving knows nothing of it.
-    private void remember(String key, TargetStatus status) {
-      TargetStatus leaver = leavers.get(key);
-      if (status.phase() == Phase.DRAINING || status.phase() == Phase.GONE) {
-        leavers.put(key, status);
-      } else if (leaver != null && status.bornMs() > leaver.bornMs()) {
-        leavers.remove(key);
-      }
-    }
   }
 }
