Let urgent requests pass less urgent ones at the caller too, and nested calls wait longer

The load now states the urgent ones apart. Ruled out: order at the door (DoorQueueTest), budget of repeats. TargetChooserTest.urgentRequest... and DoorQueueTest.nestedCallWaits... failed before.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
@@ -29,6 +29,7 @@
   private int slots;
   private int running;
   private long nextNumber;
+  private int urgentWaiting;
 
   /** A waiting call. */
   private static final class Ticket<T> {
@@ -68,6 +69,11 @@
     return waiting.size();
   }
 
+  /** Returns the urgent calls that wait. */
+  public int urgentQueued() {
+    return urgentWaiting;
+  }
+
   /** Decides on a call. */
   public Offer<T> offer(T call, CallClass type, long nowNanos) {
     double workUs = times.expectedUs(type.route());
@@ -83,9 +89,14 @@
       return new Offer<>(Offer.Decision.REFUSE, retryAfterMs, List.of());
     }
     waiting.add(ticket);
+    count(ticket, 1);
     return new Offer<>(Offer.Decision.WAIT, 0, evictHopeless(ticket, nowNanos));
   }
 
+  private void count(Ticket<T> ticket, int change) {
+    urgentWaiting += WaitLimit.urgent(ticket.type.rank()) ? change : 0;
+  }
+
   private double waitUs(Ticket<T> ticket) {
     double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
     for (Ticket<T> ahead : waiting.headSet(ticket)) {
@@ -113,6 +124,7 @@
       boolean hopeless = endUs > (ticket.type.deadlineNanos() - nowNanos) / 1000.0;
       if (hopeless && ORDER.compare(ticket, added) > 0) {
         each.remove();
+        count(ticket, -1);
         evicted.add(ticket.call);
       } else {
         aheadUs += ticket.workUs;
@@ -134,6 +146,7 @@
     while (running < slots && !waiting.isEmpty()) {
       Ticket<T> first = waiting.first();
       waiting.remove(first);
+      count(first, -1);
       double leftUs = (first.type.deadlineNanos() - nowNanos) / 1000.0;
       if (leftUs < first.workUs * RESIDUAL_SHARE) {
         refused.add(first.call);
@@ -147,7 +160,14 @@
 
   /** Removes a waiting call that its caller gave up; returns whether it was waiting. */
   public boolean cancel(T call) {
-    return waiting.removeIf(ticket -> ticket.call == call);
+    return waiting.removeIf(
+        ticket -> {
+          boolean found = ticket.call == call;
+          if (found) {
+            count(ticket, -1);
+          }
+          return found;
+        });
   }
 
   /** Empties the queue and returns the calls that waited. */
@@ -155,6 +175,7 @@
     List<T> calls = new ArrayList<>();
     waiting.forEach(ticket -> calls.add(ticket.call));
     waiting.clear();
+    urgentWaiting = 0;
     return calls;
   }
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
@@ -10,10 +10,18 @@
   private static final double URGENT_WAIT_SHARE = 0.8;
   private static final double NORMAL_WAIT_SHARE = 0.5;
   private static final double LATE_WAIT_SHARE = 0.25;
+  // A refused call of a running request wastes the run, so it may wait until shortly before its
+  // deadline.
+  private static final double NESTED_WAIT_SHARE = 0.8;
   private static final int URGENT_RANK = 1;
 
   private WaitLimit() {}
 
+  /** Returns whether calls of a rank go before the less urgent ones that wait. */
+  public static boolean urgent(int rank) {
+    return rank <= URGENT_RANK;
+  }
+
   /**
    * Returns the limit in microseconds.
    *
@@ -23,9 +31,12 @@
    * @param workUs expected time in the target
    */
   public static double us(int rank, double objectiveLeftUs, double leftUs, double workUs) {
+    if (rank == CallClass.RANK_NESTED) {
+      return Math.max(0, (leftUs - workUs) * NESTED_WAIT_SHARE);
+    }
     double slackUs = objectiveLeftUs - workUs;
     if (slackUs > 0) {
-      return slackUs * (rank <= URGENT_RANK ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
+      return slackUs * (urgent(rank) ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
     }
     return Math.max(0, (leftUs - workUs) * LATE_WAIT_SHARE);
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -217,12 +217,13 @@
   }
 
   private static void writeLoad(MessageBufferPacker out, TargetLoad load) throws IOException {
-    out.packInt(load.running()).packInt(load.queued());
+    out.packInt(load.running()).packInt(load.queued()).packInt(load.urgentQueued());
     out.packInt(load.serviceUs()).packInt(load.failurePermille());
   }
 
   private static TargetLoad readLoad(MessageUnpacker in) throws IOException {
-    return new TargetLoad(in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt());
+    return new TargetLoad(
+        in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt());
   }
 
   private static void writeCall(MessageBufferPacker out, MeshCall call) throws IOException {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -14,6 +14,7 @@
   private long loadAtNanos;
   private int ownAtReport;
   private int outstanding;
+  private int urgentOutstanding;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private boolean everUsed;
   private long coldUntilNanos;
@@ -61,14 +62,16 @@
   }
 
   /** Counts a call that this node sends. */
-  public void begin() {
+  public void begin(boolean urgent) {
     outstanding++;
+    urgentOutstanding += urgent ? 1 : 0;
     everUsed = true;
   }
 
   /** Counts the end of a call. */
-  public void end() {
+  public void end(boolean urgent) {
     outstanding--;
+    urgentOutstanding -= urgent ? 1 : 0;
   }
 
   /** Takes the load that an answer or a status carried. */
@@ -110,8 +113,20 @@
 
   /** Returns the estimated calls that the target works on or that wait for it. */
   public double pending(long nowNanos) {
-    double others = Math.max(0, load.running() + load.queued() - ownAtReport);
+    return outstanding + aged(Math.max(0, load.running() + load.queued() - ownAtReport), nowNanos);
+  }
+
+  /** Returns the estimated calls that an urgent call would wait behind or run beside. */
+  public double urgentPending(long nowNanos) {
+    int slots = Math.max(1, status.slots());
+    double before = load.running() + load.urgentQueued();
+    double others = Math.max(0, before - Math.min(ownAtReport, before));
+    double own = Math.min(outstanding, Math.max(urgentOutstanding, Math.min(outstanding, slots)));
+    return Math.min(pending(nowNanos), own + aged(others, nowNanos));
+  }
+
+  private double aged(double reported, long nowNanos) {
     double ageMs = (nowNanos - loadAtNanos) / 1e6;
-    return outstanding + others * Math.pow(0.5, ageMs / REPORT_HALF_LIFE_MS);
+    return reported * Math.pow(0.5, ageMs / REPORT_HALF_LIFE_MS);
   }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -78,8 +78,9 @@
     // Below the slots a further call waits for none, but a nearly full target may be slower.
     double busy = pending / slots;
     double waiting = pending < slots ? BUSY_SHARE * busy : (pending + 1) / slots;
-    if (pending >= slots) {
-      double waitUs = (pending - slots + 1) / slots * serviceUs;
+    double before = WaitLimit.urgent(demand.rank()) ? candidate.urgentPending(nowNanos) : pending;
+    if (before >= slots) {
+      double waitUs = (before - slots + 1) / slots * serviceUs;
       double limitUs =
           WaitLimit.us(demand.rank(), demand.objectiveLeftUs(), demand.leftUs(), serviceUs);
       if (waitUs > CERTAIN_REFUSAL_FACTOR * limitUs + MIN_WAIT_US) {
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/DoorQueueTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/DoorQueueTest.java
@@ -52,6 +52,18 @@
     assertTrue(offer.retryAfterMs() >= 20);
   }
 
+  @Test
+  void nestedCallWaitsBeyondItsObjective() {
+    times.add("r", 100_000);
+    queue.slots(1);
+    queue.offer("running", type(1, 200, 1000), 0);
+    queue.offer("waiting", type(CallClass.RANK_NESTED, 120, 1000), 0);
+    assertEquals(
+        Offer.Decision.WAIT,
+        queue.offer("nested", type(CallClass.RANK_NESTED, 120, 1000), 0).decision());
+    assertEquals(Offer.Decision.REFUSE, queue.offer("new", type(1, 120, 400), 0).decision());
+  }
+
   @Test
   void cancelledCallLeavesTheQueue() {
     times.add("r", 10_000);
@@ -94,6 +106,7 @@
         ended.addAll(released.refused());
       }
       assertTrue(running.size() <= slots);
+      assertTrue(door.urgentQueued() >= 0 && door.urgentQueued() <= door.queued());
       assertEquals(running.size(), door.running());
       assertEquals(number, ended.size() + running.size() + door.queued());
       assertEquals(ended.size(), ended.stream().distinct().count());
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -36,7 +36,7 @@
     assertSurvives(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", Phase.DRAINING, 9, 30, true, 4),
-            new TargetLoad(1, 2, 3, 4),
+            new TargetLoad(1, 2, 2, 3, 4),
             8));
     assertSurvives(
         new PeerMessage.Recall(new TargetStatus("i", 1, "s", "v", Phase.GONE, 0, 0, false, 2)));
@@ -69,7 +69,14 @@
     assertEquals(-3, read.call().objectiveLeftMs());
     MeshReply reply =
         new MeshReply(
-            Outcome.ANSWERED, Reason.NONE, 0, 200, List.of(), body, 12, new TargetLoad(1, 0, 9, 0));
+            Outcome.ANSWERED,
+            Reason.NONE,
+            0,
+            200,
+            List.of(),
+            body,
+            12,
+            new TargetLoad(1, 0, 0, 9, 0));
     PeerMessage.Reply answered =
         assertInstanceOf(
             PeerMessage.Reply.class,
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -31,8 +31,8 @@
   void fullTargetIsLeftForOneThatIsFarther() {
     Candidate own = candidate("n1", "z1", Phase.READY);
     Candidate far = candidate("n3", "z2", Phase.READY);
-    own.report(new TargetLoad(2, 6, 60_000, 0), 0);
-    far.report(new TargetLoad(0, 0, 60_000, 0), 0);
+    own.report(new TargetLoad(2, 6, 6, 60_000, 0), 0);
+    far.report(new TargetLoad(0, 0, 0, 60_000, 0), 0);
     assertEquals(far, chooser.choose(List.of(own, far), each -> true, DEMAND, 0));
   }
 
@@ -40,20 +40,29 @@
   void failingTargetIsLeftForHealthyOne() {
     Candidate own = candidate("n1", "z1", Phase.READY);
     Candidate far = candidate("n3", "z2", Phase.READY);
-    own.report(new TargetLoad(0, 0, 60_000, 450), 0);
-    far.report(new TargetLoad(0, 0, 60_000, 0), 0);
+    own.report(new TargetLoad(0, 0, 0, 60_000, 450), 0);
+    far.report(new TargetLoad(0, 0, 0, 60_000, 0), 0);
     assertEquals(far, chooser.choose(List.of(own, far), each -> true, DEMAND, 0));
   }
 
   @Test
   void requestThatEveryTargetWouldRefuseIsNotSent() {
     Candidate own = candidate("n1", "z1", Phase.READY);
-    own.report(new TargetLoad(2, 40, 60_000, 0), 0);
+    own.report(new TargetLoad(2, 40, 40, 60_000, 0), 0);
     assertNull(chooser.choose(List.of(own), each -> true, DEMAND, 0));
     // The report ages; the target is tried again.
     assertEquals(own, chooser.choose(List.of(own), each -> true, DEMAND, 2_000_000_000L));
   }
 
+  @Test
+  void urgentRequestIsNotHeldBackByLessUrgentOnesThatWait() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    own.report(new TargetLoad(2, 40, 1, 60_000, 0), 0);
+    Demand normal = new Demand(1_000, 2, 400_000, 800_000);
+    assertNull(chooser.choose(List.of(own), each -> true, normal, 0));
+    assertEquals(own, chooser.choose(List.of(own), each -> true, DEMAND, 0));
+  }
+
   @Test
   void leavingTargetIsNeverChosen() {
     Candidate leaving = candidate("n1", "z1", Phase.DRAINING);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -243,7 +243,7 @@
 
   /** Returns the present load. */
   public TargetLoad load() {
-    return health.load(queue.running(), queue.queued(), time.nanoTime());
+    return health.load(queue.running(), queue.queued(), queue.urgentQueued(), time.nanoTime());
   }
 
   /** Returns the call of an id that runs in the target, or null. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetHealth.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetHealth.java
@@ -56,10 +56,11 @@
     return null;
   }
 
-  TargetLoad load(int running, int queued, long nowNanos) {
+  TargetLoad load(int running, int queued, int urgentQueued, long nowNanos) {
     return new TargetLoad(
         running,
         queued,
+        urgentQueued,
         (int) Math.max(times.overallUs(), meanAgeUs(nowNanos)),
         (int) Math.round(failureShare * 1000));
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -16,6 +16,7 @@
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.admission.WaitLimit;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
@@ -179,10 +180,11 @@
 
   /** Sends a call to a target and returns how to give it up. */
   public Runnable call(Candidate candidate, MeshCall call, Consumer<MeshReply> done) {
-    candidate.begin();
+    boolean urgent = WaitLimit.urgent(call.rank());
+    candidate.begin(urgent);
     Consumer<MeshReply> counted =
         reply -> {
-          candidate.end();
+          candidate.end(urgent);
           if (reply.load() != TargetLoad.NONE) {
             candidate.report(reply.load(), time.nanoTime());
           }
@@ -200,7 +202,7 @@
     Runnable giveUp = link.call(call, counted);
     return () -> {
       giveUp.run();
-      candidate.end();
+      candidate.end(urgent);
     };
   }
 
