--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -60,7 +60,6 @@
   private boolean closeDelimitedReset;
   private long lastUsedNanos;
   private long keepAliveNanos = Long.MAX_VALUE;
-  private int served;
 
   /**
    * Wraps a connected socket.
@@ -92,7 +91,6 @@
   public void send(ClientRequest sent, Listener answerTo) {
     request = sent;
     listener = answerTo;
-    served++;
     requestWritten = false;
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
@@ -128,11 +126,6 @@
         && idleNanos < keepAliveNanos;
   }
 
-  /** Returns how many requests were sent on the connection. */
-  public int served() {
-    return served;
-  }
-
   /** Closes the connection; a request that is under way fails. */
   public void close() {
     reusable = false;
--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpExchange.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpExchange.java
@@ -65,11 +65,6 @@
     return receivedNanos;
   }
 
-  /** Returns the address of the client. */
-  public String clientHost() {
-    return connection.clientHost();
-  }
-
   /** Sets what happens when the client leaves before the answer. */
   public void onClose(Runnable handler) {
     closeHandler = handler;
--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -111,15 +111,6 @@
     closesConnections = true;
   }
 
-  /** Closes connections on which nothing is under way. */
-  public void closeIdleConnections() {
-    for (ServerConnection connection : new ArrayList<>(connections)) {
-      if (connection.idle()) {
-        connection.close();
-      }
-    }
-  }
-
   boolean closesConnections() {
     return closesConnections;
   }
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -228,10 +228,6 @@
     }
   }
 
-  boolean idle() {
-    return exchanges.isEmpty() && reading == null && partialSinceNanos == Long.MIN_VALUE;
-  }
-
   void close() {
     closing = true;
     socket.close();
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveBook.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveBook.java
@@ -81,11 +81,6 @@
     return running;
   }
 
-  /** Returns the newest order of a service, or null. */
-  public @Nullable MoveOrder orderOf(String service) {
-    return orders.get(service);
-  }
-
   /** Returns the latest grant of a service, or null. */
   public @Nullable MoveGrant grantOf(String service) {
     return grants.get(service);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveJudge.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveJudge.java
@@ -33,6 +33,7 @@
   private static final double TOLERATED_SLOWDOWN = 2;
 
   private final MoveOrder order;
+  private final MoveSteps steps;
   private final RolloutJudge judge;
   private int step;
   private long callsAtStep;
@@ -41,8 +42,9 @@
   private double lastRaisePart;
 
   /** Creates the judge of an order. */
-  public MoveJudge(MoveOrder order, String oldVersion) {
+  public MoveJudge(MoveOrder order, String oldVersion, MoveSteps steps) {
     this.order = order;
+    this.steps = steps;
     this.judge = new RolloutJudge(SETTINGS, order.service(), oldVersion, order.toVersion());
   }
 
@@ -53,8 +55,7 @@
 
   /** Takes over at the share that an earlier judge had granted. */
   public void resume(int sharePermille) {
-    while (step + 1 < MoveSteps.count()
-        && MoveSteps.step(step + 1).sharePermille() <= sharePermille) {
+    while (step + 1 < steps.count() && steps.step(step + 1).sharePermille() <= sharePermille) {
       step++;
     }
   }
@@ -76,8 +77,8 @@
       return true;
     }
     double part = (double) elapsedMs / order.durationMs();
-    boolean last = step + 1 == MoveSteps.count();
-    double duePart = last ? MoveSteps.COMPLETE_PART : MoveSteps.step(step + 1).fromPart();
+    boolean last = step + 1 == steps.count();
+    double duePart = last ? MoveSteps.COMPLETE_PART : steps.step(step + 1).fromPart();
     boolean spaced = part - lastRaisePart >= SETTLE_PART || step == 0;
     boolean tried = last || verdict.newCalls() - callsAtStep >= MIN_CALLS_A_STEP;
     if (part < duePart || !spaced || !tried) {
@@ -106,7 +107,7 @@
 
   /** Returns the part of the requests that the new version gets. */
   public int sharePermille() {
-    return state == MoveState.TAKEN_BACK ? 0 : MoveSteps.step(step).sharePermille();
+    return state == MoveState.TAKEN_BACK ? 0 : steps.step(step).sharePermille();
   }
 
   /** Returns how far the move is. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveSteps.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/move/MoveSteps.java
@@ -14,13 +14,10 @@
    */
   public record Step(int sharePermille, double fromPart) {}
 
-  private static final Step[] STEPS = {
-    new Step(50, 0),
-    new Step(160, 0.2),
-    new Step(450, 0.45),
-    new Step(900, 0.58),
-    new Step(1000, 0.7)
-  };
+  // The first step is half of what an unproved version may get; the second is above it for a time
+  // that keeps the whole below it, and loads the first target as it will be in the end.
+  private static final double FIRST_SHARE = 0.5;
+  private static final double SECOND_SHARE = 1.6;
 
   /**
    * Part of the move's time at which a version with all traffic counts as proved; the old targets
@@ -28,16 +25,36 @@
    */
   public static final double COMPLETE_PART = 0.88;
 
-  private MoveSteps() {}
+  private final Step[] steps;
+
+  /**
+   * Creates the steps.
+   *
+   * @param unprovedShare part of a service's requests that an unproved version may get
+   */
+  public MoveSteps(double unprovedShare) {
+    steps =
+        new Step[] {
+          new Step(permille(FIRST_SHARE * unprovedShare), 0),
+          new Step(permille(SECOND_SHARE * unprovedShare), 0.2),
+          new Step(450, 0.45),
+          new Step(900, 0.58),
+          new Step(1000, 0.7)
+        };
+  }
+
+  private static int permille(double share) {
+    return (int) Math.min(450, Math.max(1, Math.round(1000 * share)));
+  }
 
   /** Returns the number of steps. */
-  public static int count() {
-    return STEPS.length;
+  public int count() {
+    return steps.length;
   }
 
   /** Returns a step. */
-  public static Step step(int index) {
-    return STEPS[index];
+  public Step step(int index) {
+    return steps[index];
   }
 
   /** Returns over how many of the new version's targets a share is spread. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
@@ -33,24 +33,16 @@
   /**
    * Figures of the contract.
    *
-   * @param drainMs time for which a target serves after its leaving was acknowledged
    * @param graceMs time between the request to stop and the kill
-   * @param stateApplyMs time within which a new desired state is in force
    * @param repeatRatio repeats per request of a service, all nodes together
    * @param repeatSlack repeats per window beyond the ratio
    * @param repeatWindowMs length of that window
    * @param newVersionShare share of a service's requests that an unproved version may get
-   * @param newVersionSlack requests beyond that share
-   * @param takeBackMs time after which a bad version gets nothing
    */
   public record Bounds(
-      int drainMs,
       int graceMs,
-      int stateApplyMs,
       double repeatRatio,
       double repeatSlack,
       int repeatWindowMs,
-      double newVersionShare,
-      int newVersionSlack,
-      int takeBackMs) {}
+      double newVersionShare) {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -16,7 +16,6 @@
   private int outstanding;
   private int urgentOutstanding;
   private long avoidUntilNanos = Long.MIN_VALUE;
-  private boolean everUsed;
   private long coldUntilNanos;
 
   /** Creates a candidate. */
@@ -45,7 +44,6 @@
   public void status(TargetStatus next) {
     if (!next.id().equals(status.id()) || next.bornMs() != status.bornMs()) {
       load = TargetLoad.NONE;
-      everUsed = false;
       avoidUntilNanos = Long.MIN_VALUE;
     }
     status = next;
@@ -65,7 +63,6 @@
   public void begin(boolean urgent) {
     outstanding++;
     urgentOutstanding += urgent ? 1 : 0;
-    everUsed = true;
   }
 
   /** Counts the end of a call. */
@@ -91,16 +88,6 @@
     return avoidUntilNanos != Long.MIN_VALUE && nowNanos - avoidUntilNanos < 0;
   }
 
-  /** Returns whether this node has sent a call to the target's lifetime. */
-  public boolean everUsed() {
-    return everUsed;
-  }
-
-  /** Returns the calls of this node that are under way. */
-  public int outstanding() {
-    return outstanding;
-  }
-
   /** Returns the share of calls that the target fails, from 0 to 1. */
   public double failureShare() {
     return load.failurePermille() / 1000.0;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/move/MoveJudgeTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/move/MoveJudgeTest.java
@@ -26,7 +26,8 @@
 
   private static Result play(Fault fault, int callsPerSecond, long seed) {
     Random random = new Random(seed);
-    MoveJudge judge = new MoveJudge(new MoveOrder("s", "v2", DURATION_MS, 1), "v1");
+    MoveJudge judge =
+        new MoveJudge(new MoveOrder("s", "v2", DURATION_MS, 1), "v1", new MoveSteps(0.1));
     int newCalls = 0;
     int bad = 0;
     int calls = 0;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -10,6 +10,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpListener;
 import org.acaciapond.http.ServerLimits;
+import org.acaciapond.mesh.move.MoveSteps;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.platform.PlatformCodec;
@@ -103,7 +104,16 @@
             time.now().toEpochMilli());
     operator = new OperatorState(codec, states, log, metrics);
     door = new TargetDoor(vertx, settings, codec.headers(), log, metrics, time);
-    moves = new MoveService(vertx, store, codec, self.key(), self.zone(), log, time);
+    moves =
+        new MoveService(
+            vertx,
+            store,
+            codec,
+            self.key(),
+            self.zone(),
+            new MoveSteps(settings.bounds().newVersionShare()),
+            log,
+            time);
     network = new PeerNetwork(vertx, self, door, new States(), moves, log, metrics, random, time);
     operator.onChange(network::publishStatus);
     operator.onOrder(moves::order);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -198,12 +198,6 @@
     statusChanged();
   }
 
-  /** Refuses everything that has not reached the target. */
-  public void shut() {
-    queue.slots(0);
-    refuseQueue();
-  }
-
   private void statusChanged() {
     statusNumber++;
     CheckIn held = lifecycle.latest();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
@@ -13,6 +13,7 @@
 import org.acaciapond.mesh.move.MoveOrder;
 import org.acaciapond.mesh.move.MoveProgress;
 import org.acaciapond.mesh.move.MoveState;
+import org.acaciapond.mesh.move.MoveSteps;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.store.MeshStore;
@@ -45,6 +46,7 @@
   private final PlatformCodec codec;
   private final String nodeKey;
   private final String zone;
+  private final MoveSteps steps;
   private final EventLog log;
   private final TimeSource time;
   private final MoveBook book = new MoveBook();
@@ -79,6 +81,7 @@
       PlatformCodec codec,
       String nodeKey,
       String zone,
+      MoveSteps steps,
       EventLog log,
       TimeSource time) {
     this.vertx = vertx;
@@ -86,6 +89,7 @@
     this.codec = codec;
     this.nodeKey = nodeKey;
     this.zone = zone;
+    this.steps = steps;
     this.log = log;
     this.time = time;
   }
@@ -203,7 +207,7 @@
         peers == null
             ? ""
             : book.currentVersion(move.order.service(), peers.candidates(move.order.service()));
-    MoveJudge created = new MoveJudge(move.order, old);
+    MoveJudge created = new MoveJudge(move.order, old, steps);
     MoveGrant earlier = book.grantOf(move.order.service());
     if (earlier != null && earlier.orderNumber() == move.order.number()) {
       created.resume(earlier.sharePermille());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -85,7 +85,6 @@
   private static final class Inbound {
     final Map<Long, TargetDoor.DoorCall> calls = new HashMap<>();
     long toldNanos;
-    String key = "";
   }
 
   /** Creates the network of a node. */
@@ -284,7 +283,6 @@
     } else if (message instanceof PeerMessage.Ping ping) {
       socket.send(new PeerMessage.Pong(ping.number()));
     } else if (message instanceof PeerMessage.Hello hello) {
-      from.key = hello.node().key();
       learn(hello.node());
       PeerLink link = links.get(hello.node().key());
       if (link != null) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -47,7 +47,7 @@
             new SocketAddressSetting(HOST, target.port()),
             new SocketAddressSetting(HOST, store.port()),
             256,
-            new SidecarSettings.Bounds(2_000, 6_000, 2_000, 0.2, 60, 10_000, 0.1, 50, 5_000));
+            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1));
     start();
   }
 
