Choose targets by the worth that a request is expected to lose there

Ruled out: compression (bodies do not deflate, a trial logged their lengths).

The cost of a target is now the chance to miss the objective or the deadline there, its failures, its load, and the bytes that go to another domain. The speed of each target is learned by the caller as a multiple of the route's mean.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/AttemptTimes.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/AttemptTimes.java
@@ -23,11 +23,17 @@
   private static final class Times {
     double meanMs;
     double deviationMs;
+    double runUs;
     int samples;
   }
 
-  /** Adds the time of a call that was answered. */
-  public void add(String route, double ms) {
+  /**
+   * Adds a call that was answered.
+   *
+   * @param ms time as the caller saw it, in milliseconds
+   * @param runUs time in the target, in microseconds
+   */
+  public void add(String route, double ms, double runUs) {
     Times times = byRoute.get(route);
     if (times == null) {
       if (byRoute.size() >= MAX_ROUTES) {
@@ -35,11 +41,19 @@
       }
       times = new Times();
       times.meanMs = ms;
+      times.runUs = runUs;
       byRoute.put(route, times);
     }
     times.samples++;
     times.deviationMs += SMOOTHING * (Math.abs(ms - times.meanMs) - times.deviationMs);
     times.meanMs += SMOOTHING * (ms - times.meanMs);
+    times.runUs += SMOOTHING * (runUs - times.runUs);
+  }
+
+  /** Returns the mean time of a route's calls in their targets in microseconds, 0 when unknown. */
+  public double runUs(String route) {
+    Times times = byRoute.get(route);
+    return times == null ? 0 : times.runUs;
   }
 
   /**
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -6,6 +6,11 @@
   // Reports older than this say little of the present load; the estimate then relies on the calls
   // of this node alone.
   private static final double REPORT_HALF_LIFE_MS = 300;
+  private static final double SLOWNESS_SMOOTHING = 0.1;
+  private static final int MIN_SLOWNESS_SAMPLES = 5;
+  // Above it the target's own report counts: calls that are still under way show a target that
+  // turned slow before any answer does.
+  private static final double SUDDEN_SLOWNESS = 2;
 
   private final String node;
   private final String zone;
@@ -17,6 +22,8 @@
   private int urgentOutstanding;
   private long avoidUntilNanos = Long.MIN_VALUE;
   private long coldUntilNanos;
+  private double slowness = 1;
+  private int slownessSamples;
 
   /** Creates a candidate. */
   public Candidate(String node, String zone, TargetStatus status) {
@@ -45,6 +52,8 @@
     if (!next.id().equals(status.id()) || next.bornMs() != status.bornMs()) {
       load = TargetLoad.NONE;
       avoidUntilNanos = Long.MIN_VALUE;
+      slowness = 1;
+      slownessSamples = 0;
     }
     status = next;
   }
@@ -98,6 +107,25 @@
     return load.serviceUs();
   }
 
+  /** Takes the time of an answered call as a multiple of the mean of its route at all targets. */
+  public void ran(double multiple) {
+    slownessSamples++;
+    slowness += Math.max(SLOWNESS_SMOOTHING, 1.0 / slownessSamples) * (multiple - slowness);
+  }
+
+  /**
+   * Returns the time of a call in this target as a multiple of that at an ordinary target.
+   *
+   * @param typicalUs time of a call at an ordinary target of the service
+   */
+  public double slowness(double typicalUs) {
+    double reported = load.serviceUs() > 0 ? load.serviceUs() / typicalUs : 1;
+    if (slownessSamples < MIN_SLOWNESS_SAMPLES) {
+      return reported;
+    }
+    return reported > SUDDEN_SLOWNESS ? Math.max(reported, slowness) : slowness;
+  }
+
   /** Returns the estimated calls that the target works on or that wait for it. */
   public double pending(long nowNanos) {
     return outstanding + aged(Math.max(0, load.running() + load.queued() - ownAtReport), nowNanos);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -7,27 +7,32 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Choice of a target by the time that a call would take there: the calls before it, the speed of
- * the target, its failures and the distance.
+ * Choice of a target by the worth that a request is expected to lose there: by an answer after its
+ * objective or its deadline, by the failures of the target, and by the bytes that it sends to
+ * another failure domain.
  */
 public final class TargetChooser {
 
   private static final double DEFAULT_SERVICE_US = 100_000;
-  // A target that fails a tenth of its calls counts as twice as slow.
-  private static final double FAILURE_WEIGHT = 10;
-  // Bytes between failure domains are paid for, so a call leaves its domain only when it would wait
-  // there: a target with a free slot stays cheaper than an idle one elsewhere.
-  private static final double OTHER_DOMAIN_SHARE = 1.0;
-  private static final double OTHER_DOMAIN_SHARE_A_KB = 0.1;
-  private static final double MAX_OTHER_DOMAIN_SHARE = 1.6;
+  // Part of a request's worth that is lost when its answer misses the objective but not the
+  // deadline.
+  private static final double LATE_LOSS = 0.7;
+  // Steepness of the chance to miss a time, for run times that spread like a lognormal variable
+  // with a deviation of one half.
+  private static final double SPREAD_EXPONENT = 3.4;
+  private static final double OTHER_DOMAIN_COST_A_KB = 0.15;
+  // Request, headers and frames of a call, beside the body of its answer.
+  private static final double CALL_BYTES = 400;
+  // Weight of a call before this one at the target, as a part of its slots: keeps targets of one
+  // domain equally busy and shows what the call costs those behind it.
+  private static final double LOAD_COST = 0.08;
+  private static final double OTHER_NODE_COST = 0.002;
+  private static final double NOISE = 0.004;
+  private static final double AVOIDED_COST = 100;
   // The node beside the target decides with exact figures; a call that it would most likely refuse
   // is not sent, as sending costs both sides.
   private static final double CERTAIN_REFUSAL_FACTOR = 1.5;
-  private static final double OTHER_NODE_SHARE = 0.02;
   private static final double MIN_WAIT_US = 5_000;
-  private static final double BUSY_SHARE = 0.5;
-  private static final double NOISE_SHARE = 0.05;
-  private static final double AVOIDED_FACTOR = 1000;
 
   private final String localNode;
   private final String localZone;
@@ -53,15 +58,14 @@
   public @Nullable Candidate choose(
       List<Candidate> candidates, Predicate<Candidate> allowed, Demand demand, long nowNanos) {
     double typicalUs = typicalServiceUs(candidates);
-    double share = OTHER_DOMAIN_SHARE + OTHER_DOMAIN_SHARE_A_KB * demand.answerBytes() / 1_000;
-    double otherDomainUs = Math.min(MAX_OTHER_DOMAIN_SHARE, share) * typicalUs;
+    double otherDomainCost = OTHER_DOMAIN_COST_A_KB * (CALL_BYTES + demand.answerBytes()) / 1_000;
     Candidate best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (Candidate candidate : candidates) {
       if (!candidate.status().open() || !allowed.test(candidate)) {
         continue;
       }
-      double cost = cost(candidate, typicalUs, otherDomainUs, demand, nowNanos);
+      double cost = cost(candidate, typicalUs, otherDomainCost, demand, nowNanos);
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -71,31 +75,38 @@
   }
 
   private double cost(
-      Candidate candidate, double typicalUs, double otherDomainUs, Demand demand, long nowNanos) {
+      Candidate candidate, double typicalUs, double otherDomainCost, Demand demand, long nowNanos) {
     int slots = Math.max(1, candidate.status().slots());
     double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double pending = candidate.pending(nowNanos);
-    // Below the slots a further call waits for none, but a nearly full target may be slower.
-    double busy = pending / slots;
-    double waiting = pending < slots ? BUSY_SHARE * busy : (pending + 1) / slots;
     double before = WaitLimit.urgent(demand.rank()) ? candidate.urgentPending(nowNanos) : pending;
+    double waitUs = 0;
     if (before >= slots) {
-      double waitUs = (before - slots + 1) / slots * serviceUs;
+      waitUs = (before - slots + 1) / slots * serviceUs;
       double limitUs =
           WaitLimit.us(demand.rank(), demand.objectiveLeftUs(), demand.leftUs(), serviceUs);
       if (waitUs > CERTAIN_REFUSAL_FACTOR * limitUs + MIN_WAIT_US) {
         return Double.POSITIVE_INFINITY;
       }
     }
-    double cost = serviceUs * (1 + waiting);
+    double ordinaryUs = demand.runUs() > 0 ? demand.runUs() : typicalUs;
+    double runUs = ordinaryUs * candidate.slowness(typicalUs);
+    double cost =
+        LATE_LOSS * missChance(runUs, demand.objectiveLeftUs() - waitUs)
+            + (1 - LATE_LOSS) * missChance(runUs, demand.leftUs() - waitUs);
+    cost += LOAD_COST * before / slots;
+    cost += candidate.failureShare();
     if (!candidate.zone().equals(localZone)) {
-      cost += otherDomainUs;
+      cost += otherDomainCost;
     } else if (!candidate.node().equals(localNode)) {
-      cost += OTHER_NODE_SHARE * typicalUs;
+      cost += OTHER_NODE_COST;
     }
-    cost *= 1 + FAILURE_WEIGHT * candidate.failureShare();
-    cost *= 1 + NOISE_SHARE * random.getAsDouble();
-    return candidate.avoided(nowNanos) ? cost * AVOIDED_FACTOR : cost;
+    cost += NOISE * random.getAsDouble();
+    return candidate.avoided(nowNanos) ? cost + AVOIDED_COST : cost;
+  }
+
+  private static double missChance(double runUs, double leftUs) {
+    return leftUs <= 0 ? 1 : 1 / (1 + Math.pow(leftUs / runUs, SPREAD_EXPONENT));
   }
 
   private static double typicalServiceUs(List<Candidate> candidates) {
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/AttemptTimesTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/AttemptTimesTest.java
@@ -17,7 +17,7 @@
   @Test
   void secondTryStillFitsBeforeTheAnswerLosesWorth() {
     for (int i = 0; i < 100; i++) {
-      times.add("r", 60);
+      times.add("r", 60, 50_000);
     }
     int afterMs = times.secondTryAfterMs("r", 200, 500);
     assertTrue(afterMs >= 120 && afterMs + 60 <= 200, "after " + afterMs);
@@ -26,7 +26,7 @@
   @Test
   void secondTryThatCannotEndBeforeTheDeadlineIsNotMade() {
     for (int i = 0; i < 100; i++) {
-      times.add("r", 60);
+      times.add("r", 60, 50_000);
     }
     assertEquals(-1, times.secondTryAfterMs("r", 20, 150));
   }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -8,7 +8,7 @@
 
 class TargetChooserTest {
 
-  private static final Demand DEMAND = new Demand(1_000, 1, 400_000, 800_000);
+  private static final Demand DEMAND = new Demand(1_000, 0, 1, 400_000, 800_000);
 
   private final TargetChooser chooser = new TargetChooser("n1", "z1", () -> 0);
 
@@ -58,7 +58,7 @@
   void urgentRequestIsNotHeldBackByLessUrgentOnesThatWait() {
     Candidate own = candidate("n1", "z1", Phase.READY);
     own.report(new TargetLoad(2, 40, 1, 60_000, 0), 0);
-    Demand normal = new Demand(1_000, 2, 400_000, 800_000);
+    Demand normal = new Demand(1_000, 0, 2, 400_000, 800_000);
     assertNull(chooser.choose(List.of(own), each -> true, normal, 0));
     assertEquals(own, chooser.choose(List.of(own), each -> true, DEMAND, 0));
   }
@@ -68,4 +68,41 @@
     Candidate leaving = candidate("n1", "z1", Phase.DRAINING);
     assertNull(chooser.choose(List.of(leaving), each -> true, DEMAND, 0));
   }
+
+  /** Guards against bytes between domains for requests that are in time where they are. */
+  @Test
+  void largeAnswerStaysInItsDomainWhileItIsInTime() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate far = candidate("n3", "z2", Phase.READY);
+    own.report(new TargetLoad(2, 2, 2, 60_000, 0), 0);
+    far.report(new TargetLoad(0, 0, 0, 60_000, 0), 0);
+    Demand large = new Demand(5_000, 60_000, 2, 400_000, 800_000);
+    assertEquals(own, chooser.choose(List.of(own, far), each -> true, large, 0));
+  }
+
+  /** Guards against requests that are late at home while a far target would be in time. */
+  @Test
+  void requestLeavesItsDomainWhenItWouldBeLateThere() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate far = candidate("n3", "z2", Phase.READY);
+    own.report(new TargetLoad(2, 1, 1, 60_000, 0), 0);
+    far.report(new TargetLoad(0, 0, 0, 60_000, 0), 0);
+    Demand pressing = new Demand(100, 60_000, 2, 130_000, 300_000);
+    assertEquals(far, chooser.choose(List.of(own, far), each -> true, pressing, 0));
+  }
+
+  /** Guards against a choice by load alone among targets of unlike speed. */
+  @Test
+  void requestWithLittleTimeAvoidsTheTargetThatRanSlowly() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    Candidate near = candidate("n2", "z1", Phase.READY);
+    for (int i = 0; i < 10; i++) {
+      own.ran(1.8);
+      near.ran(0.9);
+    }
+    Demand pressing = new Demand(100, 60_000, 1, 130_000, 300_000);
+    Demand patient = new Demand(100, 60_000, 1, 2_000_000, 5_000_000);
+    assertEquals(near, chooser.choose(List.of(own, near), each -> true, pressing, 0));
+    assertEquals(own, chooser.choose(List.of(own, near), each -> true, patient, 0));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -153,6 +153,7 @@
         candidate -> !tried.contains(candidate.node()) && version.test(candidate),
         new Demand(
             router.answerBytes(route.name()),
+            router.times.runUs(route.name()),
             rank,
             (objectiveNanos - nowNanos) / 1e3,
             (deadlineNanos - nowNanos) / 1e3),
@@ -226,12 +227,21 @@
     open.remove(attempt);
     if (!ended) {
       if (reply.outcome() == Outcome.ANSWERED && reply.status() < 300) {
-        router.times.add(route.name(), (router.time.nanoTime() - attempt.startNanos) / 1_000_000.0);
+        noteTimes(attempt, reply.runUs());
       }
       onReply(attempt.candidate, reply);
     }
   }
 
+  private void noteTimes(Attempt attempt, int runUs) {
+    double meanUs = router.times.runUs(route.name());
+    if (meanUs > 0) {
+      attempt.candidate.ran(runUs / meanUs);
+    }
+    double ms = (router.time.nanoTime() - attempt.startNanos) / 1_000_000.0;
+    router.times.add(route.name(), ms, runUs);
+  }
+
   private void giveUpOpen() {
     List<Attempt> left = new ArrayList<>(open);
     open.clear();
