--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -205,10 +205,7 @@
     String end = "refused_" + reason.name().toLowerCase(Locale.ROOT);
     metrics.request(end, time.nanoTime() - exchange.receivedNanos());
     log.request("request_ended", "id", id, "end", end, "status", 503);
-    exchange.answer(HttpAnswer.empty(503, List.of("Retry-After", retryAfter(retryAfterMs))));
-  }
-
-  static String retryAfter(int ms) {
-    return String.format(Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000);
+    exchange.answer(
+        HttpAnswer.empty(503, List.of("Retry-After", RetryAfter.seconds(retryAfterMs))));
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -370,7 +370,7 @@
       finish(
           503,
           end("refused"),
-          HttpAnswer.empty(503, List.of("Retry-After", RequestRouter.retryAfter(afterMs))));
+          HttpAnswer.empty(503, List.of("Retry-After", RetryAfter.seconds(afterMs))));
     }
   }
 
