Let one node a failure domain ask the store often, and pass on all of the operator's rows

Cause: when all open connections fell silent, each node waited out its question for changes, 25 s, and no peer could tell what nobody knew.

The node with the lowest key of a domain asks every 1.2 s, and nodes compare the highest version of all operator's rows instead of that of the desired state, so orders of moves spread the same way. The new test failed before (nothing within 20 s).

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -65,12 +65,12 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packInt(HELLO);
       writeNode(out, hello.node());
-      out.packLong(hello.stateVersion());
+      out.packLong(hello.rowVersion());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
       writeLoad(out, status.load());
-      out.packLong(status.stateVersion());
+      out.packLong(status.rowVersion());
     } else if (message instanceof PeerMessage.Call call) {
       out.packInt(CALL).packLong(call.number());
       writeCall(out, call.call());
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -15,12 +15,12 @@
    * First message of each side.
    *
    * @param node the sender
-   * @param stateVersion version of the desired state that the sender holds, -1 for none
+   * @param rowVersion highest version of the operator's rows that the sender holds, -1 for none
    */
-  record Hello(NodeRecord node, long stateVersion) implements PeerMessage {}
+  record Hello(NodeRecord node, long rowVersion) implements PeerMessage {}
 
   /** State of the target beside the sender, on change and as a sign of life. */
-  record Status(TargetStatus status, TargetLoad load, long stateVersion) implements PeerMessage {}
+  record Status(TargetStatus status, TargetLoad load, long rowVersion) implements PeerMessage {}
 
   /** Call to the target beside the receiver. */
   record Call(long number, MeshCall call) implements PeerMessage {}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -42,6 +42,9 @@
   private static final ServerLimits CONTROL_LIMITS =
       new ServerLimits(16_384, 65_536, 5_000, 60_000);
   private static final Duration FEED_WAIT = Duration.ofSeconds(25);
+  // One node a failure domain asks the store this often, so that changes arrive soon after all
+  // connections have fallen silent; it tells the others what it holds.
+  private static final Duration READER_FEED_WAIT = Duration.ofMillis(1_200);
   // Clients stop to use a machine after two missed readiness questions, one a second.
   private static final int UNREADY_MS = 2_300;
   // Other nodes use the target until most of their calls could no longer end before the process.
@@ -130,14 +133,14 @@
             vertx,
             store,
             StoreArea.OPERATOR,
-            FEED_WAIT,
+            () -> network.lowestOfDomain() ? READER_FEED_WAIT : FEED_WAIT,
             rows -> operator.apply(rows, "store"),
             log,
             metrics,
             random);
     nodeFeed =
         new StoreFeed(
-            vertx, store, StoreArea.NODES, FEED_WAIT, registry::apply, log, metrics, random);
+            vertx, store, StoreArea.NODES, () -> FEED_WAIT, registry::apply, log, metrics, random);
     ControlEndpoint controlEndpoint = new ControlEndpoint(codec, door, log, metrics);
     StatusEndpoint statusEndpoint =
         new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
@@ -266,9 +269,11 @@
 
   /** Exchange of the desired state with peers. */
   private final class States implements PeerNetwork.StateExchange {
+    private boolean asking;
+
     @Override
-    public long stateVersion() {
-      return states.version();
+    public long rowVersion() {
+      return operator.version();
     }
 
     @Override
@@ -278,15 +283,17 @@
 
     @Override
     public void peerHolds(long version, Runnable ask) {
-      if (version <= states.version()) {
+      if (version <= operator.version() || asking) {
         return;
       }
+      asking = true;
       // The store tells most nodes at the same moment; only what it does not tell is asked for.
       long delayMs = states.current() == null ? 1 : ASK_PEER_DELAY_MS;
       vertx.setTimer(
           delayMs,
           id -> {
-            if (version > states.version()) {
+            asking = false;
+            if (version > operator.version()) {
               ask.run();
             }
           });
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -40,13 +40,13 @@
 
   /** What peers hold and tell of the desired state. */
   public interface StateExchange {
-    /** Returns the version of the desired state in force, -1 for none. */
-    long stateVersion();
+    /** Returns the highest version of the operator's rows that this node holds, -1 for none. */
+    long rowVersion();
 
     /** Returns the operator's rows that this node holds. */
     List<PeerMessage.HeldRow> rows();
 
-    /** A peer holds a version; its rows can be asked for. */
+    /** A peer holds rows up to a version; they can be asked for. */
     void peerHolds(long version, Runnable ask);
 
     /** A peer sent rows. */
@@ -221,6 +221,18 @@
     return lowest;
   }
 
+  /** Returns whether no connected node of the own failure domain has a lower key. */
+  public boolean lowestOfDomain() {
+    for (PeerLink link : links.values()) {
+      if (link.connected()
+          && link.node().zone().equals(self.zone())
+          && link.node().key().compareTo(self.key()) < 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Sends a message to one node, if there is a connection. */
   public void send(String key, PeerMessage message) {
     PeerLink link = links.get(key);
@@ -234,13 +246,13 @@
     inbound.keySet().forEach(socket -> socket.send(message));
   }
 
-  /** Tells all connected nodes of the own target and the desired state in force. */
+  /** Tells all connected nodes of the own target and of the operator's rows that are held. */
   public void publishStatus() {
     publish(ownStatus());
   }
 
   private PeerMessage.Status ownStatus() {
-    return new PeerMessage.Status(door.status(), door.load(), states.stateVersion());
+    return new PeerMessage.Status(door.status(), door.load(), states.rowVersion());
   }
 
   private void ownStatusChanged(TargetStatus status) {
@@ -257,7 +269,7 @@
             this::onInboundClosed,
             problem -> log.event("peer_problem", "error", problem));
     inbound.put(peer, new Inbound());
-    peer.send(new PeerMessage.Hello(self, states.stateVersion()));
+    peer.send(new PeerMessage.Hello(self, states.rowVersion()));
     peer.send(ownStatus());
     List<NodeRecord> known = new ArrayList<>();
     links.values().forEach(link -> known.add(link.node()));
@@ -346,7 +358,7 @@
   private final class LinkEvents implements PeerLink.Listener {
     @Override
     public void connected(PeerLink link) {
-      link.send(new PeerMessage.Hello(self, states.stateVersion()));
+      link.send(new PeerMessage.Hello(self, states.rowVersion()));
       log.event("peer_connected", "peer", link.node().key());
     }
 
@@ -367,7 +379,7 @@
         } else {
           link.node(hello.node());
         }
-        states.peerHolds(hello.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
+        states.peerHolds(hello.rowVersion(), () -> link.send(new PeerMessage.StateRequest()));
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::learn);
       } else if (message instanceof PeerMessage.StateRows rows) {
@@ -395,7 +407,7 @@
             "node_leaving",
             status.nodeLeaving());
       }
-      states.peerHolds(message.stateVersion(), () -> link.send(new PeerMessage.StateRequest()));
+      states.peerHolds(message.rowVersion(), () -> link.send(new PeerMessage.StateRequest()));
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -22,6 +22,7 @@
   private final EventLog log;
   private final NodeMetrics metrics;
   private final Map<String, StoreRow> rows = new HashMap<>();
+  private long version = -1;
   private Runnable onChange = () -> {};
   private Consumer<MoveOrder> onOrder = order -> {};
 
@@ -34,7 +35,7 @@
     this.metrics = metrics;
   }
 
-  /** Sets what follows a change of the desired state in force. */
+  /** Sets what follows a change of the rows that are held. */
   public void onChange(Runnable listener) {
     onChange = listener;
   }
@@ -46,13 +47,20 @@
 
   /** Applies rows; an older version of a row than the one held changes nothing. */
   public void apply(List<StoreRow> delivered, String source) {
+    boolean changed = false;
     for (StoreRow row : delivered) {
       StoreRow held = rows.get(row.key());
       if (held == null || row.version() > held.version()) {
         rows.put(row.key(), row);
+        // Removed rows are not passed on, so they must not raise the version that peers ask for.
+        version = row.removed() ? version : Math.max(version, row.version());
         applyFact(row, source);
+        changed = true;
       }
     }
+    if (changed) {
+      onChange.run();
+    }
   }
 
   private void applyFact(StoreRow row, String source) {
@@ -71,7 +79,6 @@
           inForce);
       if (inForce) {
         metrics.stateVersion(state.state().version());
-        onChange.run();
       }
     } else if (fact instanceof OperatorFact.Order order) {
       onOrder.accept(order.order());
@@ -89,6 +96,11 @@
     }
   }
 
+  /** Returns the highest version of the rows that are held, -1 without any. */
+  public long version() {
+    return version;
+  }
+
   /** Returns the rows for a peer. */
   public List<PeerMessage.HeldRow> held() {
     List<PeerMessage.HeldRow> held = new ArrayList<>();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.acaciapond.mesh.store.MeshStore;
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreErrorCode;
@@ -24,7 +25,7 @@
   private final Vertx vertx;
   private final MeshStore store;
   private final StoreArea area;
-  private final Duration wait;
+  private final Supplier<Duration> wait;
   private final Consumer<List<StoreRow>> onRows;
   private final EventLog log;
   private final NodeMetrics metrics;
@@ -37,13 +38,14 @@
   /**
    * Creates a feed.
    *
-   * @param wait longest time that the store holds a question for changes
+   * @param wait longest time that the store holds the next question for changes; a connection that
+   *     fell silent is noticed after that time
    */
   public StoreFeed(
       Vertx vertx,
       MeshStore store,
       StoreArea area,
-      Duration wait,
+      Supplier<Duration> wait,
       Consumer<List<StoreRow>> onRows,
       EventLog log,
       NodeMetrics metrics,
@@ -73,7 +75,7 @@
       return;
     }
     boolean whole = version == NO_VERSION;
-    (whole ? store.read(area) : store.changes(area, version, wait))
+    (whole ? store.read(area) : store.changes(area, version, wait.get()))
         .subscribe()
         .with(this::onAnswer, this::onFailure);
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -43,7 +44,8 @@
         "idle_timeout_ms":15000}}
       """;
 
-  private final Vertx vertx = Vertx.vertx();
+  // The store's state belongs to one event loop.
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final List<TestMachine> machines = new ArrayList<>();
@@ -273,6 +275,18 @@
     eventually("new route", () -> status(mesh[0], "/new/1") == 200);
   }
 
+  /** Guards against nodes that hear of no change after their connections fell silent. */
+  @Test
+  void stateArrivesThoughAllConnectionsToTheStoreFellSilent() throws Exception {
+    TestMachine[] mesh = orderMesh(2);
+    store.loseQuestions();
+    String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
+    store.put("op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
+    for (TestMachine each : mesh) {
+      eventually("new route", () -> status(each, "/new/1") == 200);
+    }
+  }
+
   @Test
   void requestsUnderWayEndBeforeStoppedNode() throws Exception {
     TestMachine[] mesh = orderMesh(1);
