Estimate waits by the first of all slots, and limits by the length of the route

The door estimated a wait as if half of the work of all running calls came before the first that waits, and the caller took the mean of all routes for the run of a short one.

Both tests failed before. With waits estimated right, the shares of the slack that a call may wait shrink: 0.7, 0.3 and 0.15 after 0.8, 0.5 and 0.25.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
@@ -15,8 +15,8 @@
  */
 public final class DoorQueue<T> {
 
-  // Running calls are on average half done.
-  private static final double RESIDUAL_SHARE = 0.5;
+  // A call that is given a slot with less than this part of its expected time left is not worth it.
+  private static final double LEAST_TIME_SHARE = 0.5;
   private static final int MIN_RETRY_AFTER_MS = 20;
 
   private static final Comparator<Ticket<?>> ORDER =
@@ -97,8 +97,14 @@
     urgentWaiting += WaitLimit.urgent(ticket.type.rank()) ? change : 0;
   }
 
+  // Work before a slot is free, as a sum over all slots: with all of them taken, the first one
+  // becomes free after the time of a call divided by their number.
+  private double firstSlotUs() {
+    return running >= slots ? times.overallUs() : 0;
+  }
+
   private double waitUs(Ticket<T> ticket) {
-    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    double aheadUs = firstSlotUs();
     for (Ticket<T> ahead : waiting.headSet(ticket)) {
       aheadUs += ahead.workUs;
     }
@@ -116,7 +122,7 @@
   // Calls behind the new one that would now miss their deadline are refused while it is early.
   private List<T> evictHopeless(Ticket<T> added, long nowNanos) {
     List<T> evicted = new ArrayList<>();
-    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    double aheadUs = firstSlotUs();
     Iterator<Ticket<T>> each = waiting.iterator();
     while (each.hasNext()) {
       Ticket<T> ticket = each.next();
@@ -148,7 +154,7 @@
       waiting.remove(first);
       count(first, -1);
       double leftUs = (first.type.deadlineNanos() - nowNanos) / 1000.0;
-      if (leftUs < first.workUs * RESIDUAL_SHARE) {
+      if (leftUs < first.workUs * LEAST_TIME_SHARE) {
         refused.add(first.call);
       } else {
         running++;
@@ -181,7 +187,7 @@
 
   /** Returns after how many milliseconds a refused call would find room. */
   public int retryAfterMs() {
-    double aheadUs = running * times.overallUs() * RESIDUAL_SHARE;
+    double aheadUs = firstSlotUs();
     for (Ticket<T> ticket : waiting) {
       aheadUs += ticket.workUs;
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
@@ -7,9 +7,9 @@
  */
 public final class WaitLimit {
 
-  private static final double URGENT_WAIT_SHARE = 0.8;
-  private static final double NORMAL_WAIT_SHARE = 0.5;
-  private static final double LATE_WAIT_SHARE = 0.25;
+  private static final double URGENT_WAIT_SHARE = 0.7;
+  private static final double NORMAL_WAIT_SHARE = 0.3;
+  private static final double LATE_WAIT_SHARE = 0.15;
   // A refused call of a running request wastes the run, so it may wait until shortly before its
   // deadline.
   private static final double NESTED_WAIT_SHARE = 0.8;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -80,17 +80,17 @@
     double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double pending = candidate.pending(nowNanos);
     double before = WaitLimit.urgent(demand.rank()) ? candidate.urgentPending(nowNanos) : pending;
+    double ordinaryUs = demand.runUs() > 0 ? demand.runUs() : typicalUs;
+    double runUs = ordinaryUs * candidate.slowness(typicalUs);
     double waitUs = 0;
     if (before >= slots) {
       waitUs = (before - slots + 1) / slots * serviceUs;
       double limitUs =
-          WaitLimit.us(demand.rank(), demand.objectiveLeftUs(), demand.leftUs(), serviceUs);
+          WaitLimit.us(demand.rank(), demand.objectiveLeftUs(), demand.leftUs(), runUs);
       if (waitUs > CERTAIN_REFUSAL_FACTOR * limitUs + MIN_WAIT_US) {
         return Double.POSITIVE_INFINITY;
       }
     }
-    double ordinaryUs = demand.runUs() > 0 ? demand.runUs() : typicalUs;
-    double runUs = ordinaryUs * candidate.slowness(typicalUs);
     double cost =
         LATE_LOSS * missChance(runUs, demand.objectiveLeftUs() - waitUs)
             + (1 - LATE_LOSS) * missChance(runUs, demand.leftUs() - waitUs);
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/DoorQueueTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/DoorQueueTest.java
@@ -64,6 +64,18 @@
     assertEquals(Offer.Decision.REFUSE, queue.offer("new", type(1, 120, 400), 0).decision());
   }
 
+  /** Guards against refusals as if all running calls had to end before the first that waits. */
+  @Test
+  void urgentCallWaitsForTheFirstOfManySlots() {
+    times.add("long", 100_000);
+    times.add("r", 30_000);
+    queue.slots(8);
+    for (int i = 0; i < 8; i++) {
+      queue.offer("running " + i, new CallClass("long", 2, 400 * MS, 800 * MS), 0);
+    }
+    assertEquals(Offer.Decision.WAIT, queue.offer("urgent", type(1, 60, 250), 0).decision());
+  }
+
   @Test
   void cancelledCallLeavesTheQueue() {
     times.add("r", 10_000);
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -105,4 +105,15 @@
     assertEquals(near, chooser.choose(List.of(own, near), each -> true, pressing, 0));
     assertEquals(own, chooser.choose(List.of(own, near), each -> true, patient, 0));
   }
+
+  /** Guards against short requests that are refused for the length of the others. */
+  @Test
+  void shortRequestIsSentWhereOnlyLongOnesWouldBeTooLate() {
+    Candidate own = candidate("n1", "z1", Phase.READY);
+    own.report(new TargetLoad(2, 1, 1, 90_000, 0), 0);
+    Demand brief = new Demand(100, 10_000, 1, 160_000, 250_000);
+    Demand lengthy = new Demand(100, 150_000, 1, 160_000, 250_000);
+    assertEquals(own, chooser.choose(List.of(own), each -> true, brief, 0));
+    assertNull(chooser.choose(List.of(own), each -> true, lengthy, 0));
+  }
 }
