Two readers a failure domain; ask idle connections seldom; read the node table once

Nodes of 0.3 cores did not answer in time, and connections were lost by the thousand.

DomainView decides who asks the store and who is told; LivenessCheck decides when a connection is asked and lost, and does not decide after the node itself stood still.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -65,12 +65,12 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packInt(HELLO);
       writeNode(out, hello.node());
-      out.packLong(hello.rowVersion());
+      out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
       writeLoad(out, status.load());
-      out.packLong(status.rowVersion());
+      out.packLong(status.rowVersion()).packBoolean(status.readsStore());
     } else if (message instanceof PeerMessage.Call call) {
       out.packInt(CALL).packLong(call.number());
       writeCall(out, call.call());
@@ -116,8 +116,9 @@
   private PeerMessage read(MessageUnpacker in) throws IOException {
     int type = in.unpackInt();
     return switch (type) {
-      case HELLO -> new PeerMessage.Hello(readNode(in), in.unpackLong());
-      case STATUS -> new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong());
+      case HELLO -> new PeerMessage.Hello(readNode(in), in.unpackLong(), in.unpackBoolean());
+      case STATUS ->
+          new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
       case CALL -> new PeerMessage.Call(in.unpackLong(), readCall(in));
       case REPLY -> new PeerMessage.Reply(in.unpackLong(), readReply(in));
       case CANCEL -> new PeerMessage.Cancel(in.unpackLong());
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -16,11 +16,19 @@
    *
    * @param node the sender
    * @param rowVersion highest version of the operator's rows that the sender holds, -1 for none
+   * @param wantsNodes whether the sender has not read the table of nodes and asks for those that
+   *     the receiver knows
    */
-  record Hello(NodeRecord node, long rowVersion) implements PeerMessage {}
+  record Hello(NodeRecord node, long rowVersion, boolean wantsNodes) implements PeerMessage {}
 
-  /** State of the target beside the sender, on change and as a sign of life. */
-  record Status(TargetStatus status, TargetLoad load, long rowVersion) implements PeerMessage {}
+  /**
+   * State of the target beside the sender, on change and as a sign of life.
+   *
+   * @param rowVersion highest version of the operator's rows that the sender holds
+   * @param readsStore whether the store serves the sender, as far as that knows
+   */
+  record Status(TargetStatus status, TargetLoad load, long rowVersion, boolean readsStore)
+      implements PeerMessage {}
 
   /** Call to the target beside the receiver. */
   record Call(long number, MeshCall call) implements PeerMessage {}
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -36,12 +36,13 @@
 
   @Test
   void messagesSurviveTheWire() {
-    assertSurvives(new PeerMessage.Hello(NODE, 7));
+    assertSurvives(new PeerMessage.Hello(NODE, 7, true));
     assertSurvives(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", Phase.DRAINING, 9, 30, true, 4),
             new TargetLoad(1, 2, 2, 3, 4),
-            8));
+            8,
+            true));
     assertSurvives(
         new PeerMessage.Recall(new TargetStatus("i", 1, "s", "v", Phase.GONE, 0, 0, false, 2)));
     assertSurvives(new PeerMessage.Cancel(3));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -35,16 +35,17 @@
 import org.acaciapond.sidecar.state.StoreFeed;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** A node: all its parts on one event loop, their start and their orderly stop. */
 public final class SidecarProcess implements ManagedService {
 
   private static final ServerLimits CONTROL_LIMITS =
       new ServerLimits(16_384, 65_536, 5_000, 60_000);
-  private static final Duration FEED_WAIT = Duration.ofSeconds(25);
-  // One node a failure domain asks the store this often, so that changes arrive soon after all
-  // connections have fallen silent; it tells the others what it holds.
-  private static final Duration READER_FEED_WAIT = Duration.ofMillis(1_200);
+  // The first node of a failure domain asks the store this often, so that changes arrive soon after
+  // all connections have fallen silent; the second one stands by.
+  private static final Duration FIRST_READER_WAIT = Duration.ofMillis(1_200);
+  private static final Duration SECOND_READER_WAIT = Duration.ofSeconds(5);
   // Clients stop to use a machine after two missed readiness questions, one a second.
   private static final int UNREADY_MS = 2_300;
   // Other nodes use the target until most of their calls could no longer end before the process.
@@ -58,7 +59,8 @@
   private static final int SETTLE_CHECK_MS = 50;
   private static final int STOP_CHECK_MS = 50;
   private static final int QUIET_MS = 300;
-  private static final int ASK_PEER_DELAY_MS = 300;
+  // The nodes that ask the store hear of a change at the same moment.
+  private static final int ASK_PEER_DELAY_MS = 100;
   private final Vertx vertx;
   private final SidecarSettings settings;
   private final PlatformCodec codec;
@@ -74,7 +76,6 @@
   private final RequestRouter router;
   private final NodeRegistry registry;
   private final StoreFeed operatorFeed;
-  private final StoreFeed nodeFeed;
   private final HttpListener outbound;
   private final HttpListener ready;
   private final HttpListener control;
@@ -118,7 +119,7 @@
             log,
             time);
     network = new PeerNetwork(vertx, self, door, new States(), moves, log, metrics, random, time);
-    operator.onChange(network::publishStatus);
+    operator.onChange(network::publishRows);
     operator.onOrder(moves::order);
     SidecarSettings.Bounds bounds = settings.bounds();
     budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatWindowMs());
@@ -127,20 +128,20 @@
         new RequestRouter(
             vertx, settings, codec, door, states, network, chooser, budget, moves, moves, log,
             metrics, random, time);
-    registry = new NodeRegistry(vertx, store, self, network::learn, log, metrics, random);
+    registry =
+        new NodeRegistry(
+            vertx, store, self, network::learn, network::nodesRead, log, metrics, random);
     operatorFeed =
         new StoreFeed(
             vertx,
             store,
             StoreArea.OPERATOR,
-            () -> network.lowestOfDomain() ? READER_FEED_WAIT : FEED_WAIT,
+            this::readerWait,
+            network::readsStore,
             rows -> operator.apply(rows, "store"),
             log,
             metrics,
             random);
-    nodeFeed =
-        new StoreFeed(
-            vertx, store, StoreArea.NODES, () -> FEED_WAIT, registry::apply, log, metrics, random);
     ControlEndpoint controlEndpoint = new ControlEndpoint(codec, door, log, metrics);
     StatusEndpoint statusEndpoint =
         new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
@@ -158,6 +159,14 @@
         vertx, address.host(), address.port(), limits, handler, new ListenerEvents(), time);
   }
 
+  private @Nullable Duration readerWait() {
+    return switch (network.readerRank()) {
+      case 0 -> FIRST_READER_WAIT;
+      case 1 -> SECOND_READER_WAIT;
+      default -> null;
+    };
+  }
+
   private ServerLimits clientLimits() {
     RouteTable table = states.current();
     ClientLimits limits = table == null ? ClientLimits.DEFAULT : table.state().limits();
@@ -190,7 +199,7 @@
         "peer",
         settings.peer().port());
     operatorFeed.start();
-    nodeFeed.start();
+    registry.start();
     moves.start(network);
     settleDoor();
     // A node serves without its metrics, should their port be taken.
@@ -287,8 +296,8 @@
         return;
       }
       asking = true;
-      // The store tells most nodes at the same moment; only what it does not tell is asked for.
-      long delayMs = states.current() == null ? 1 : ASK_PEER_DELAY_MS;
+      boolean reader = network.readerRank() <= 1;
+      long delayMs = states.current() != null && reader ? ASK_PEER_DELAY_MS : 1;
       vertx.setTimer(
           delayMs,
           id -> {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -14,6 +14,7 @@
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.peer.LivenessCheck;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.target.TargetLoad;
@@ -22,9 +23,6 @@
 /** This node's connection to one other node, made again whenever it ends or falls silent. */
 final class PeerLink {
 
-  private static final int PING_AFTER_MS = 500;
-  // Three unanswered pings; a machine under full load still answers well within this time.
-  private static final int SILENT_MS = 1_500;
   private static final int MIN_BACKOFF_MS = 50;
   private static final int MAX_BACKOFF_MS = 1_000;
 
@@ -36,6 +34,8 @@
   private final Map<Long, Consumer<MeshReply>> calls = new HashMap<>();
   private NodeRecord node;
   private @Nullable PeerSocket socket;
+  private final LivenessCheck liveness;
+  private boolean readsStore = true;
   private boolean connecting;
   private boolean stopped;
   private int backoffMs = MIN_BACKOFF_MS;
@@ -54,6 +54,7 @@
       Vertx vertx,
       NetClient client,
       NodeRecord node,
+      boolean sameDomain,
       Listener listener,
       DoubleSupplier random,
       TimeSource time) {
@@ -63,6 +64,7 @@
     this.listener = listener;
     this.random = random;
     this.time = time;
+    this.liveness = new LivenessCheck(sameDomain, random);
   }
 
   NodeRecord node() {
@@ -83,6 +85,15 @@
     return socket != null;
   }
 
+  /** Returns whether the store serves the node, as far as it has told. */
+  boolean readsStore() {
+    return readsStore;
+  }
+
+  void readsStore(boolean served) {
+    readsStore = served;
+  }
+
   void connect() {
     if (connecting || stopped || socket != null) {
       return;
@@ -101,6 +112,7 @@
                       this::onClose,
                       problem -> listener.disconnected(this, problem));
               socket = created;
+              liveness.connected();
               backoffMs = MIN_BACKOFF_MS;
               listener.connected(this);
             })
@@ -175,18 +187,26 @@
     };
   }
 
-  /** Asks for a sign of life, or ends a connection that gave none for too long. */
-  void check() {
+  /**
+   * Asks for a sign of life where nothing was heard for long, or ends a connection that gave none.
+   *
+   * @param onTime whether this node itself has been running since the last check
+   */
+  void check(boolean onTime) {
     PeerSocket held = socket;
     if (held == null) {
       return;
     }
-    long silentMs = held.silentMs();
-    if (silentMs > SILENT_MS) {
-      held.close();
-      onClose(held);
-    } else if (silentMs > PING_AFTER_MS) {
-      held.send(new PeerMessage.Ping(0));
+    long nowNanos = time.nanoTime();
+    switch (liveness.decide(held.heardNanos(), !calls.isEmpty(), onTime, nowNanos)) {
+      case ASK -> held.send(new PeerMessage.Ping(0));
+      case LOST -> {
+        held.close();
+        onClose(held);
+      }
+      default -> {
+        // The connection is alive.
+      }
     }
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -9,9 +9,11 @@
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.lifecycle.ManagedService;
@@ -22,6 +24,7 @@
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.move.MoveGrant;
+import org.acaciapond.mesh.peer.DomainView;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.target.Candidate;
@@ -37,6 +40,9 @@
 
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int CHECK_INTERVAL_MS = 250;
+  // Lists of nodes from this many peers are as good as the table in the store.
+  private static final int ENOUGH_NODE_LISTS = 3;
+  private static final long LATE_CHECK_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
 
   /** What peers hold and tell of the desired state. */
   public interface StateExchange {
@@ -80,10 +86,15 @@
   private final TargetView targets;
   private @Nullable NetServer server;
   private long timer = -1;
+  private long checkedNanos;
+  private boolean readsStore = true;
+  private boolean wantsNodes = true;
+  private int nodeLists;
 
   /** Connection that another node made, with the calls that it runs here. */
   private static final class Inbound {
     final Map<Long, TargetDoor.DoorCall> calls = new HashMap<>();
+    String key = "";
     long toldNanos;
   }
 
@@ -157,7 +168,9 @@
       return;
     }
     log.event("node_learned", "peer", node.key(), "host", node.host(), "service", node.service());
-    PeerLink link = new PeerLink(vertx, client, node, new LinkEvents(), random, time);
+    PeerLink link =
+        new PeerLink(
+            vertx, client, node, node.zone().equals(self.zone()), new LinkEvents(), random, time);
     links.put(node.key(), link);
     link.connect();
   }
@@ -221,16 +234,33 @@
     return lowest;
   }
 
-  /** Returns whether no connected node of the own failure domain has a lower key. */
-  public boolean lowestOfDomain() {
+  /** Returns how many nodes of the own domain come before this one in asking the store. */
+  public int readerRank() {
+    return domainView().readerRank();
+  }
+
+  private DomainView domainView() {
+    List<DomainView.Peer> peers = new ArrayList<>();
     for (PeerLink link : links.values()) {
-      if (link.connected()
-          && link.node().zone().equals(self.zone())
-          && link.node().key().compareTo(self.key()) < 0) {
-        return false;
+      if (link.connected()) {
+        NodeRecord node = link.node();
+        peers.add(new DomainView.Peer(node.key(), node.zone(), link.readsStore()));
       }
     }
-    return true;
+    return new DomainView(self.key(), self.zone(), peers);
+  }
+
+  /** Notes whether the store serves this node, and tells the others of a change. */
+  public void readsStore(boolean served) {
+    if (served != readsStore) {
+      readsStore = served;
+      publishStatus();
+    }
+  }
+
+  /** Notes that the table of nodes has been read, so that peers need not name theirs. */
+  public void nodesRead() {
+    wantsNodes = false;
   }
 
   /** Sends a message to one node, if there is a connection. */
@@ -246,13 +276,24 @@
     inbound.keySet().forEach(socket -> socket.send(message));
   }
 
-  /** Tells all connected nodes of the own target and of the operator's rows that are held. */
-  public void publishStatus() {
+  /** Tells those nodes that hear of it from this one that new rows are held. */
+  public void publishRows() {
+    Set<String> told = new HashSet<>(domainView().toldOfRows());
+    PeerMessage.Status status = ownStatus();
+    inbound.forEach(
+        (socket, from) -> {
+          if (told.contains(from.key)) {
+            socket.send(status);
+          }
+        });
+  }
+
+  private void publishStatus() {
     publish(ownStatus());
   }
 
   private PeerMessage.Status ownStatus() {
-    return new PeerMessage.Status(door.status(), door.load(), states.rowVersion());
+    return new PeerMessage.Status(door.status(), door.load(), states.rowVersion(), readsStore);
   }
 
   private void ownStatusChanged(TargetStatus status) {
@@ -260,6 +301,10 @@
     publishStatus();
   }
 
+  private PeerMessage hello() {
+    return new PeerMessage.Hello(self, states.rowVersion(), wantsNodes);
+  }
+
   private void accept(NetSocketInternal socket) {
     PeerSocket peer =
         new PeerSocket(
@@ -269,11 +314,8 @@
             this::onInboundClosed,
             problem -> log.event("peer_problem", "error", problem));
     inbound.put(peer, new Inbound());
-    peer.send(new PeerMessage.Hello(self, states.rowVersion()));
+    peer.send(hello());
     peer.send(ownStatus());
-    List<NodeRecord> known = new ArrayList<>();
-    links.values().forEach(link -> known.add(link.node()));
-    peer.send(new PeerMessage.Nodes(known));
     List<MoveGrant> grants = moves.grants();
     if (!grants.isEmpty()) {
       peer.send(new PeerMessage.Moves(grants));
@@ -300,6 +342,12 @@
       if (link != null) {
         link.wake();
       }
+      from.key = hello.node().key();
+      if (hello.wantsNodes()) {
+        List<NodeRecord> known = new ArrayList<>();
+        links.values().forEach(each -> known.add(each.node()));
+        socket.send(new PeerMessage.Nodes(known));
+      }
       TargetStatus leaver = targets.leaver(hello.node().key());
       if (leaver != null) {
         socket.send(new PeerMessage.Recall(leaver));
@@ -336,7 +384,10 @@
   }
 
   private void check() {
-    links.values().forEach(PeerLink::check);
+    long nowNanos = time.nanoTime();
+    boolean onTime = nowNanos - checkedNanos < LATE_CHECK_NANOS;
+    checkedNanos = nowNanos;
+    links.values().forEach(link -> link.check(onTime));
     tellWaitingCallers();
     metrics.peers(connectedPeers());
   }
@@ -358,7 +409,7 @@
   private final class LinkEvents implements PeerLink.Listener {
     @Override
     public void connected(PeerLink link) {
-      link.send(new PeerMessage.Hello(self, states.rowVersion()));
+      link.send(hello());
       log.event("peer_connected", "peer", link.node().key());
     }
 
@@ -382,6 +433,8 @@
         states.peerHolds(hello.rowVersion(), () -> link.send(new PeerMessage.StateRequest()));
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::learn);
+        nodeLists++;
+        wantsNodes &= nodeLists < ENOUGH_NODE_LISTS;
       } else if (message instanceof PeerMessage.StateRows rows) {
         states.accept(rows.rows());
       } else if (message instanceof PeerMessage.Recall recall) {
@@ -392,6 +445,7 @@
     }
 
     private void onStatus(PeerLink link, PeerMessage.Status message) {
+      link.readsStore(message.readsStore());
       TargetStatus status = message.status();
       boolean changed =
           targets.apply(link.node().key(), link.node().zone(), status, message.load());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -72,9 +72,9 @@
     }
   }
 
-  /** Returns how long nothing was heard, in milliseconds. */
-  long silentMs() {
-    return (time.nanoTime() - heardNanos) / 1_000_000;
+  /** Returns the monotonic time at which something was heard last. */
+  long heardNanos() {
+    return heardNanos;
   }
 
   boolean closed() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -12,27 +11,37 @@
 import org.acaciapond.mesh.store.MeshStore;
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.mesh.store.WriteOutcome;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
-/** Table of nodes in the store: keeps this node's row and passes on those of others. */
+/**
+ * Table of nodes in the store: keeps this node's row and passes on those of others. A node reads
+ * the table after its own row is in it, so of any two nodes the later one learns of the other,
+ * connects to it and is learned by it; nobody has to wait for changes of the table.
+ */
 public final class NodeRegistry {
 
   // Spreads the writes of nodes that start together; the store bounds writes a second.
   private static final int MIN_DELAY_MS = 20;
   private static final int SPREAD_MS = 200;
+  private static final int MIN_BACKOFF_MS = 250;
+  private static final int MAX_BACKOFF_MS = 1_000;
+  // Finds rows that another writer changed or removed.
+  private static final int REFRESH_MS = 60_000;
 
   private final Vertx vertx;
   private final MeshStore store;
   private final NodeRecord self;
   private final Consumer<NodeRecord> onNode;
+  private final Runnable onRead;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final DoubleSupplier random;
   private final Map<String, Long> versions = new HashMap<>();
   private boolean registered;
-  private boolean writing;
+  private int backoffMs = MIN_BACKOFF_MS;
 
   /** Creates a registry. */
   public NodeRegistry(
@@ -40,6 +49,7 @@
       MeshStore store,
       NodeRecord self,
       Consumer<NodeRecord> onNode,
+      Runnable onRead,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random) {
@@ -47,24 +57,48 @@
     this.store = store;
     this.self = self;
     this.onNode = onNode;
+    this.onRead = onRead;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
   }
 
-  /** Applies rows of the table. */
-  public void apply(List<StoreRow> rows) {
-    for (StoreRow row : rows) {
-      if (row.version() <= versions.getOrDefault(row.key(), 0L)) {
-        continue;
-      }
+  /** Starts to read and to keep the own row. */
+  public void start() {
+    read();
+  }
+
+  private void read() {
+    store.read(StoreArea.NODES).subscribe().with(this::onRows, this::onFailure);
+  }
+
+  private void onFailure(Throwable error) {
+    metrics.storeCall("failed");
+    log.event("node_table_unread", "error", error.getMessage());
+    retry(this::read);
+  }
+
+  private void retry(Runnable step) {
+    long delayMs = (long) (backoffMs * (0.5 + random.getAsDouble()));
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    vertx.setTimer(Math.max(1, delayMs), id -> step.run());
+  }
+
+  private void onRows(StoreRows rows) {
+    metrics.storeCall("ok");
+    backoffMs = MIN_BACKOFF_MS;
+    registered = false;
+    for (StoreRow row : rows.rows()) {
+      boolean newer = row.version() > versions.getOrDefault(row.key(), 0L);
       versions.put(row.key(), row.version());
-      if (!row.removed()) {
+      if (newer || row.key().equals(self.key())) {
         decode(row);
       }
     }
-    if (!registered && !writing) {
-      writing = true;
+    onRead.run();
+    if (registered) {
+      vertx.setTimer(REFRESH_MS, id -> read());
+    } else {
       vertx.setTimer(MIN_DELAY_MS + (long) (random.getAsDouble() * SPREAD_MS), id -> register());
     }
   }
@@ -92,10 +126,6 @@
   }
 
   private void register() {
-    if (registered) {
-      writing = false;
-      return;
-    }
     long expected = versions.getOrDefault(self.key(), 0L);
     store
         .write(StoreArea.NODES, self.key(), PeerCodec.encodeNode(self), expected)
@@ -103,16 +133,14 @@
         .with(this::onWritten, error -> onWritten(WriteOutcome.UNKNOWN));
   }
 
+  // Whatever the outcome, the next read shows what the table holds.
   private void onWritten(WriteOutcome outcome) {
     metrics.storeCall("write_" + outcome);
     log.event("node_registered", "outcome", outcome);
-    writing = false;
     if (outcome == WriteOutcome.WRITTEN) {
-      registered = true;
-      return;
+      read();
+    } else {
+      retry(this::read);
     }
-    // A conflict or an unknown outcome is settled by what the feed shows next.
-    writing = true;
-    vertx.setTimer(500 + (long) (random.getAsDouble() * 500), id -> register());
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
@@ -14,18 +14,24 @@
 import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
-/** Feed of one area of the store: all rows once, then changes as they come. */
+/**
+ * Feed of one area of the store: all rows once, then changes as they come, while it is this node's
+ * part to ask for them.
+ */
 public final class StoreFeed {
 
   private static final long NO_VERSION = -1;
   private static final int MIN_BACKOFF_MS = 100;
   private static final int MAX_BACKOFF_MS = 1_000;
+  private static final int ROLE_CHECK_MS = 250;
 
   private final Vertx vertx;
   private final MeshStore store;
   private final StoreArea area;
-  private final Supplier<Duration> wait;
+  private final Supplier<@Nullable Duration> wait;
+  private final Consumer<Boolean> onServed;
   private final Consumer<List<StoreRow>> onRows;
   private final EventLog log;
   private final NodeMetrics metrics;
@@ -38,14 +44,16 @@
   /**
    * Creates a feed.
    *
-   * @param wait longest time that the store holds the next question for changes; a connection that
-   *     fell silent is noticed after that time
+   * @param wait longest time that the store holds the next question for changes, after which a
+   *     connection that fell silent is noticed; null while other nodes ask
+   * @param onServed told whether the store serves this node
    */
   public StoreFeed(
       Vertx vertx,
       MeshStore store,
       StoreArea area,
-      Supplier<Duration> wait,
+      Supplier<@Nullable Duration> wait,
+      Consumer<Boolean> onServed,
       Consumer<List<StoreRow>> onRows,
       EventLog log,
       NodeMetrics metrics,
@@ -54,6 +62,7 @@
     this.store = store;
     this.area = area;
     this.wait = wait;
+    this.onServed = onServed;
     this.onRows = onRows;
     this.log = log;
     this.metrics = metrics;
@@ -74,10 +83,16 @@
     if (stopped) {
       return;
     }
-    boolean whole = version == NO_VERSION;
-    (whole ? store.read(area) : store.changes(area, version, wait.get()))
-        .subscribe()
-        .with(this::onAnswer, this::onFailure);
+    if (version == NO_VERSION) {
+      store.read(area).subscribe().with(this::onAnswer, this::onFailure);
+      return;
+    }
+    Duration longest = wait.get();
+    if (longest == null) {
+      vertx.setTimer(ROLE_CHECK_MS, id -> next());
+    } else {
+      store.changes(area, version, longest).subscribe().with(this::onAnswer, this::onFailure);
+    }
   }
 
   private void onAnswer(StoreRows rows) {
@@ -85,6 +100,7 @@
     if (lost) {
       lost = false;
       log.event("store_regained", "area", area);
+      onServed.accept(true);
     }
     backoffMs = MIN_BACKOFF_MS;
     version = Math.max(version, rows.version());
@@ -102,6 +118,7 @@
     } else if (!lost) {
       lost = true;
       log.event("store_lost", "area", area, "after", version, "error", error.getMessage());
+      onServed.accept(false);
     }
     long delayMs = Math.max(1, (long) (backoffMs * (0.5 + random.getAsDouble())));
     backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
