--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LivenessCheck.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LivenessCheck.java
@@ -14,6 +14,9 @@
   private static final long IDLE_SILENCE_NANOS = 2_500 * MS;
   // Bytes between failure domains are paid for, and few calls go there.
   private static final long OTHER_DOMAIN_IDLE_SILENCE_NANOS = 6_000 * MS;
+  // A node tells those that wait for its target of the load four times a second, so a longer
+  // silence is unusual.
+  private static final long SUSPICIOUS_SILENCE_NANOS = 600 * MS;
   // A machine under full load still answers within this time.
   private static final long ANSWER_NANOS = 1_000 * MS;
   private static final double IDLE_SPREAD = 0.4;
@@ -78,4 +81,19 @@
     }
     return Decision.ALIVE;
   }
+
+  /**
+   * Returns whether a connection on which calls wait has been silent for unusually long, so that
+   * further calls should go elsewhere. Those under way stay, as the node may only be slow.
+   *
+   * @param heardNanos monotonic time at which something was heard last
+   * @param waitingSinceNanos monotonic time since which calls have been waiting
+   * @param onTime whether this node has been running since the last check
+   * @param nowNanos monotonic time
+   */
+  public static boolean suspicious(
+      long heardNanos, long waitingSinceNanos, boolean onTime, long nowNanos) {
+    long silentNanos = Math.min(nowNanos - heardNanos, nowNanos - waitingSinceNanos);
+    return onTime && silentNanos > SUSPICIOUS_SILENCE_NANOS;
+  }
 }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/LivenessCheckTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/LivenessCheckTest.java
@@ -1,6 +1,8 @@
 package org.acaciapond.mesh.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.acaciapond.mesh.peer.LivenessCheck.Decision;
 import org.junit.jupiter.api.Test;
@@ -49,4 +51,14 @@
     assertEquals(Decision.ALIVE, check.decide(0, true, false, 9_000 * MS));
     assertEquals(Decision.ALIVE, check.decide(9_100 * MS, true, true, 9_250 * MS));
   }
+
+  /** Guards against calls that are sent to a cut domain until its connections count as lost. */
+  @Test
+  void silenceWhileCallsWaitIsSuspicious() {
+    assertTrue(LivenessCheck.suspicious(0, 0, true, 700 * MS));
+    assertFalse(LivenessCheck.suspicious(200 * MS, 0, true, 700 * MS));
+    // The connection was idle before.
+    assertFalse(LivenessCheck.suspicious(0, 300 * MS, true, 700 * MS));
+    assertFalse(LivenessCheck.suspicious(0, 0, false, 5_000 * MS));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -11,6 +11,7 @@
 import org.acaciapond.http.HttpListener;
 import org.acaciapond.http.ServerLimits;
 import org.acaciapond.mesh.move.MoveSteps;
+import org.acaciapond.mesh.peer.CatchUp;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.platform.PlatformCodec;
@@ -51,7 +52,7 @@
   // Other nodes use the target until most of their calls could no longer end before the process.
   private static final int DOOR_LEAVES_MS = 1_200;
   // The platform kills a process at the end of the grace time; requests get five sixths of it.
-  private static final double GRACE_SHARE = 0.9;
+  private static final double GRACE_SHARE = 0.85;
   // Peers tell a node that starts again what they remember of its target; without any the door
   // opens after the longer time.
   private static final int SETTLE_AFTER_PEER_MS = 100;
@@ -59,7 +60,6 @@
   private static final int SETTLE_CHECK_MS = 50;
   private static final int STOP_CHECK_MS = 50;
   private static final int QUIET_MS = 300;
-  // The nodes that ask the store hear of a change at the same moment.
   private static final int ASK_PEER_DELAY_MS = 100;
   private final Vertx vertx;
   private final SidecarSettings settings;
@@ -278,7 +278,7 @@
 
   /** Exchange of the desired state with peers. */
   private final class States implements PeerNetwork.StateExchange {
-    private boolean asking;
+    private final CatchUp catchUp = new CatchUp();
 
     @Override
     public long rowVersion() {
@@ -292,24 +292,27 @@
 
     @Override
     public void peerHolds(long version, Runnable ask) {
-      if (version <= operator.version() || asking) {
+      if (version <= operator.version()) {
         return;
       }
-      asking = true;
-      boolean reader = network.readerRank() <= 1;
-      long delayMs = states.current() != null && reader ? ASK_PEER_DELAY_MS : 1;
-      vertx.setTimer(
-          delayMs,
-          id -> {
-            asking = false;
-            if (version > operator.version()) {
-              ask.run();
-            }
-          });
+      // A node that asks the store itself hears of a change at the same moment as the peer.
+      boolean storeTells = states.current() == null || network.readerRank() <= 1;
+      if (!storeTells || !network.readsStore()) {
+        askNow(version, ask);
+      } else {
+        vertx.setTimer(ASK_PEER_DELAY_MS, id -> askNow(version, ask));
+      }
+    }
+
+    private void askNow(long version, Runnable ask) {
+      if (catchUp.ask(operator.version(), version, time.nanoTime())) {
+        ask.run();
+      }
     }
 
     @Override
     public void accept(List<PeerMessage.HeldRow> rows) {
+      catchUp.answered();
       operator.apply(
           rows.stream()
               .map(row -> new StoreRow(row.key(), row.value(), row.rowVersion(), false))
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -40,6 +40,8 @@
   private boolean stopped;
   private int backoffMs = MIN_BACKOFF_MS;
   private long nextNumber;
+  private long waitingSinceNanos;
+  private boolean suspected;
 
   /** Receives what happens on a link. */
   interface Listener {
@@ -48,6 +50,9 @@
     void disconnected(PeerLink link, String reason);
 
     void received(PeerLink link, PeerMessage message);
+
+    /** Calls wait on a connection that has been silent for unusually long. */
+    void silent(PeerLink link, boolean first);
   }
 
   PeerLink(
@@ -178,6 +183,9 @@
       return () -> {};
     }
     long number = nextNumber++;
+    if (calls.isEmpty()) {
+      waitingSinceNanos = time.nanoTime();
+    }
     calls.put(number, done);
     held.send(new PeerMessage.Call(number, call));
     return () -> {
@@ -198,6 +206,13 @@
       return;
     }
     long nowNanos = time.nanoTime();
+    boolean suspicious =
+        !calls.isEmpty()
+            && LivenessCheck.suspicious(held.heardNanos(), waitingSinceNanos, onTime, nowNanos);
+    if (suspicious) {
+      listener.silent(this, !suspected);
+    }
+    suspected = suspicious;
     switch (liveness.decide(held.heardNanos(), !calls.isEmpty(), onTime, nowNanos)) {
       case ASK -> held.send(new PeerMessage.Ping(0));
       case LOST -> {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -42,6 +42,8 @@
   private static final int CHECK_INTERVAL_MS = 250;
   // Lists of nodes from this many peers are as good as the table in the store.
   private static final int ENOUGH_NODE_LISTS = 3;
+  // Until the check after the next one.
+  private static final long AVOID_SILENT_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
   private static final long LATE_CHECK_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
 
   /** What peers hold and tell of the desired state. */
@@ -250,6 +252,11 @@
     return new DomainView(self.key(), self.zone(), peers);
   }
 
+  /** Returns whether the store serves this node, as far as it knows. */
+  public boolean readsStore() {
+    return readsStore;
+  }
+
   /** Notes whether the store serves this node, and tells the others of a change. */
   public void readsStore(boolean served) {
     if (served != readsStore) {
@@ -419,6 +426,14 @@
       targets.remove(link.node().key());
     }
 
+    @Override
+    public void silent(PeerLink link, boolean first) {
+      targets.avoid(link.node().key(), time.nanoTime() + AVOID_SILENT_NANOS);
+      if (first) {
+        log.event("peer_silent", "peer", link.node().key());
+      }
+    }
+
     @Override
     public void received(PeerLink link, PeerMessage message) {
       if (message instanceof PeerMessage.Status status) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/TargetView.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/TargetView.java
@@ -52,6 +52,14 @@
     return changed;
   }
 
+  /** Keeps the target of a node out of the choice while others are open. */
+  void avoid(String node, long untilNanos) {
+    Candidate held = candidates.get(node);
+    if (held != null) {
+      held.avoidUntil(untilNanos);
+    }
+  }
+
   /** Forgets the target of a node that is no longer connected. */
   void remove(String node) {
     if (candidates.remove(node) != null) {
