--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -31,6 +31,7 @@
 import org.acaciapond.sidecar.door.TargetDoor;
 import org.acaciapond.sidecar.move.MoveService;
 import org.acaciapond.sidecar.peer.PeerNetwork;
+import org.acaciapond.sidecar.peer.StateExchange;
 import org.acaciapond.sidecar.state.NodeRegistry;
 import org.acaciapond.sidecar.state.OperatorState;
 import org.acaciapond.sidecar.state.StoreFeed;
@@ -277,7 +278,7 @@
   }
 
   /** Exchange of the desired state with peers. */
-  private final class States implements PeerNetwork.StateExchange {
+  private final class States implements StateExchange {
     private final CatchUp catchUp = new CatchUp();
 
     @Override
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
@@ -26,6 +26,7 @@
 import org.acaciapond.rollout.evidence.RouteCounts;
 import org.acaciapond.sidecar.call.CallWitness;
 import org.acaciapond.sidecar.call.VersionFilter;
+import org.acaciapond.sidecar.peer.MoveExchange;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +36,7 @@
  * node with the lowest key; the judge grants shares, and its grants lapse when it falls silent. To
  * take a version back needs no store.
  */
-public final class MoveService implements PeerNetwork.MoveExchange, CallWitness, VersionFilter {
+public final class MoveService implements MoveExchange, CallWitness, VersionFilter {
 
   private static final int MAX_EVIDENCE_CELLS = 4_096;
   private static final int RENEW_MS = 500;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -4,12 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
-import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +18,6 @@
 import org.acaciapond.mesh.call.MeshReply;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
-import org.acaciapond.mesh.move.MoveGrant;
 import org.acaciapond.mesh.peer.DomainView;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -33,7 +27,6 @@
 import org.acaciapond.sidecar.door.TargetDoor;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
-import org.jspecify.annotations.Nullable;
 
 /** All other nodes: connections to and from them, their targets, and calls to those. */
 public final class PeerNetwork implements ManagedService {
@@ -46,33 +39,6 @@
   private static final long AVOID_SILENT_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
   private static final long LATE_CHECK_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
 
-  /** What peers hold and tell of the desired state. */
-  public interface StateExchange {
-    /** Returns the highest version of the operator's rows that this node holds, -1 for none. */
-    long rowVersion();
-
-    /** Returns the operator's rows that this node holds. */
-    List<PeerMessage.HeldRow> rows();
-
-    /** A peer holds rows up to a version; they can be asked for. */
-    void peerHolds(long version, Runnable ask);
-
-    /** A peer sent rows. */
-    void accept(List<PeerMessage.HeldRow> rows);
-  }
-
-  /** What peers tell of moves. */
-  public interface MoveExchange {
-    /** Returns the grants and ends of moves that this node knows. */
-    List<MoveGrant> grants();
-
-    /** A peer told of grants or ends. */
-    void accept(List<MoveGrant> grants);
-
-    /** A peer reported what its requests saw. */
-    void accept(PeerMessage.Evidence evidence);
-  }
-
   private final Vertx vertx;
   private final NodeRecord self;
   private final TargetDoor door;
@@ -84,22 +50,14 @@
   private final DoubleSupplier random;
   private final NetClient client;
   private final Map<String, PeerLink> links = new LinkedHashMap<>();
-  private final Map<PeerSocket, Inbound> inbound = new HashMap<>();
+  private final InboundPeers inbound;
   private final TargetView targets;
-  private @Nullable NetServer server;
   private long timer = -1;
   private long checkedNanos;
   private boolean readsStore = true;
   private boolean wantsNodes = true;
   private int nodeLists;
 
-  /** Connection that another node made, with the calls that it runs here. */
-  private static final class Inbound {
-    final Map<Long, TargetDoor.DoorCall> calls = new HashMap<>();
-    String key = "";
-    long toldNanos;
-  }
-
   /** Creates the network of a node. */
   public PeerNetwork(
       Vertx vertx,
@@ -122,6 +80,7 @@
     this.time = time;
     this.client =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
+    inbound = new InboundPeers(vertx, self, door, states, moves, new Greetings(), log, time);
     door.onStatus(this::ownStatusChanged);
     targets = new TargetView(time);
     targets.apply(self.key(), self.zone(), door.status(), door.load());
@@ -129,32 +88,15 @@
 
   @Override
   public Uni<Void> start() {
-    return Uni.createFrom()
-        .emitter(
-            emitter -> {
-              NetServer created =
-                  vertx.createNetServer(
-                      new NetServerOptions()
-                          .setHost(self.host())
-                          .setPort(self.port())
-                          .setReuseAddress(true));
-              server = created;
-              created.connectHandler(socket -> accept((NetSocketInternal) socket));
-              timer = vertx.setPeriodic(CHECK_INTERVAL_MS, id -> check());
-              created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
-            });
+    timer = vertx.setPeriodic(CHECK_INTERVAL_MS, id -> check());
+    return inbound.start();
   }
 
   @Override
   public Uni<Void> stop() {
     vertx.cancelTimer(timer);
     links.values().forEach(PeerLink::stop);
-    NetServer running = server;
-    if (running == null) {
-      return Uni.createFrom().voidItem();
-    }
-    return Uni.createFrom()
-        .emitter(emitter -> running.close().onComplete(done -> emitter.complete(null)));
+    return inbound.stop();
   }
 
   /** Takes the record of a node, from the store or from a peer. */
@@ -280,19 +222,12 @@
 
   /** Sends a message to all nodes that are connected to this one. */
   public void publish(PeerMessage message) {
-    inbound.keySet().forEach(socket -> socket.send(message));
+    inbound.publish(message);
   }
 
   /** Tells those nodes that hear of it from this one that new rows are held. */
   public void publishRows() {
-    Set<String> told = new HashSet<>(domainView().toldOfRows());
-    PeerMessage.Status status = ownStatus();
-    inbound.forEach(
-        (socket, from) -> {
-          if (told.contains(from.key)) {
-            socket.send(status);
-          }
-        });
+    inbound.publish(ownStatus(), Set.copyOf(domainView().toldOfRows()));
   }
 
   private void publishStatus() {
@@ -308,110 +243,50 @@
     publishStatus();
   }
 
-  private PeerMessage hello() {
+  private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(self, states.rowVersion(), wantsNodes);
   }
 
-  private void accept(NetSocketInternal socket) {
-    PeerSocket peer =
-        new PeerSocket(
-            socket,
-            time,
-            this::onInbound,
-            this::onInboundClosed,
-            problem -> log.event("peer_problem", "error", problem));
-    inbound.put(peer, new Inbound());
-    peer.send(hello());
-    peer.send(ownStatus());
-    List<MoveGrant> grants = moves.grants();
-    if (!grants.isEmpty()) {
-      peer.send(new PeerMessage.Moves(grants));
-    }
+  private void check() {
+    long nowNanos = time.nanoTime();
+    boolean onTime = nowNanos - checkedNanos < LATE_CHECK_NANOS;
+    checkedNanos = nowNanos;
+    links.values().forEach(link -> link.check(onTime));
+    inbound.tellWaiting(CHECK_INTERVAL_MS);
+    metrics.peers(connectedPeers());
   }
 
-  private void onInbound(PeerSocket socket, PeerMessage message) {
-    Inbound from = inbound.get(socket);
-    if (from == null) {
-      return;
+  /** What this node tells those that connect to it. */
+  private final class Greetings implements InboundPeers.Greeter {
+    @Override
+    public PeerMessage.Hello hello() {
+      return PeerNetwork.this.hello();
     }
-    if (message instanceof PeerMessage.Call call) {
-      onCall(socket, from, call);
-    } else if (message instanceof PeerMessage.Cancel cancel) {
-      TargetDoor.DoorCall running = from.calls.remove(cancel.number());
-      if (running != null) {
-        running.cancel();
-      }
-    } else if (message instanceof PeerMessage.Ping ping) {
-      socket.send(new PeerMessage.Pong(ping.number()));
-    } else if (message instanceof PeerMessage.Hello hello) {
+
+    @Override
+    public PeerMessage.Status status() {
+      return ownStatus();
+    }
+
+    @Override
+    public List<PeerMessage> answer(PeerMessage.Hello hello) {
       learn(hello.node());
       PeerLink link = links.get(hello.node().key());
       if (link != null) {
         link.wake();
       }
-      from.key = hello.node().key();
+      List<PeerMessage> answers = new ArrayList<>();
       if (hello.wantsNodes()) {
-        List<NodeRecord> known = new ArrayList<>();
-        links.values().forEach(each -> known.add(each.node()));
-        socket.send(new PeerMessage.Nodes(known));
+        answers.add(new PeerMessage.Nodes(links.values().stream().map(PeerLink::node).toList()));
       }
       TargetStatus leaver = targets.leaver(hello.node().key());
       if (leaver != null) {
-        socket.send(new PeerMessage.Recall(leaver));
+        answers.add(new PeerMessage.Recall(leaver));
       }
-    } else if (message instanceof PeerMessage.StateRequest) {
-      socket.send(new PeerMessage.StateRows(states.rows()));
-    } else if (message instanceof PeerMessage.Evidence evidence) {
-      moves.accept(evidence);
-    }
-  }
-
-  private void onCall(PeerSocket socket, Inbound from, PeerMessage.Call message) {
-    boolean[] ended = {false};
-    TargetDoor.DoorCall call =
-        door.call(
-            message.call(),
-            reply -> {
-              ended[0] = true;
-              from.calls.remove(message.number());
-              from.toldNanos = time.nanoTime();
-              socket.send(new PeerMessage.Reply(message.number(), reply));
-            });
-    if (!ended[0]) {
-      from.calls.put(message.number(), call);
-    }
-  }
-
-  private void onInboundClosed(PeerSocket socket) {
-    Inbound from = inbound.remove(socket);
-    if (from != null) {
-      // Nobody waits for these answers any more.
-      new ArrayList<>(from.calls.values()).forEach(TargetDoor.DoorCall::cancel);
+      return answers;
     }
   }
 
-  private void check() {
-    long nowNanos = time.nanoTime();
-    boolean onTime = nowNanos - checkedNanos < LATE_CHECK_NANOS;
-    checkedNanos = nowNanos;
-    links.values().forEach(link -> link.check(onTime));
-    tellWaitingCallers();
-    metrics.peers(connectedPeers());
-  }
-
-  // Answers carry the load; a target that answers nothing is shown by a status instead.
-  private void tellWaitingCallers() {
-    long nowNanos = time.nanoTime();
-    inbound.forEach(
-        (socket, from) -> {
-          boolean due = nowNanos - from.toldNanos > CHECK_INTERVAL_MS * 1_000_000L;
-          if (!from.calls.isEmpty() && due) {
-            from.toldNanos = nowNanos;
-            socket.send(ownStatus());
-          }
-        });
-  }
-
   /** What links tell, applied to the view of the mesh. */
   private final class LinkEvents implements PeerLink.Listener {
     @Override
