Add a fault soak of the sidecar node: processes, loopback proxies and signals

Four nodes as processes of their own, targets and store behind proxies that delay, silence, cut one way or reset, nodes killed, stopped, paused and woken, the store busy, silent or losing answers, new states and a target that leaves, in an overlapping series drawn from a seed. Checked from what callers and targets see: answers of their own request, whole and signed; orders that run at most once and never after a refusal; nothing for a target that left, 2 s after its node acknowledged that; all nodes serve the newest state in the end.

--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -0,0 +1,155 @@
+package org.acaciapond.sidecar.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.acaciapond.sidecar.SidecarMain;
+import org.jspecify.annotations.Nullable;
+
+/** A node as a process of its own, which signals strike from outside. */
+final class SoakNode {
+
+  private static final long EXIT_S = 20;
+
+  final int outboundPort = freePort();
+  final int controlPort = freePort();
+  private final int readyPort = freePort();
+  private final int peerPort = freePort();
+  private final String key;
+  private final Path directory;
+  private @Nullable Process process;
+  private boolean paused;
+
+  SoakNode(Path directory, String key, String zone, String service, int targetPort, int storePort) {
+    this.directory = directory;
+    this.key = key;
+    write(
+        """
+        node=%s
+        ip=127.0.0.1
+        zone=%s
+        service=%s
+        listen.outbound=127.0.0.1:%d
+        listen.control=127.0.0.1:%d
+        listen.ready=127.0.0.1:%d
+        app_address=127.0.0.1:%d
+        internal_ports=%d,%d
+        platform.address=127.0.0.1:%d
+        limits.memory_mb=256
+        bounds=grace_s=6,retry_budget_ratio=0.2,retry_budget_slack=60,budget_window_s=10
+        """
+            .formatted(
+                key,
+                zone,
+                service,
+                outboundPort,
+                controlPort,
+                readyPort,
+                targetPort,
+                peerPort,
+                peerPort,
+                storePort));
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void write(String settings) {
+    try {
+      Files.writeString(settingsFile(), settings);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private Path settingsFile() {
+    return directory.resolve(key + ".conf");
+  }
+
+  void start() {
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx64m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            SidecarMain.class.getName());
+    builder.environment().put("ACACIAPOND_BOOT", settingsFile().toString());
+    File log = directory.resolve(key + ".log").toFile();
+    builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    try {
+      process = builder.start();
+      paused = false;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  boolean running() {
+    Process held = process;
+    return held != null && held.isAlive();
+  }
+
+  void kill() {
+    Process held = process;
+    if (held != null) {
+      held.destroyForcibly();
+      await(held);
+    }
+  }
+
+  /** Asks the node to stop; a paused one is woken, or it would never end. */
+  void terminate() {
+    resume();
+    Process held = process;
+    if (held != null) {
+      held.destroy();
+    }
+  }
+
+  void pause() {
+    paused = running() && signal("STOP");
+  }
+
+  void resume() {
+    if (paused && running()) {
+      signal("CONT");
+    }
+    paused = false;
+  }
+
+  private boolean signal(String name) {
+    Process held = process;
+    if (held == null) {
+      return false;
+    }
+    try {
+      Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(held.pid())).start();
+      await(kill);
+      return kill.exitValue() == 0;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void await(Process ended) {
+    try {
+      if (!ended.waitFor(EXIT_S, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("process " + ended.pid() + " does not end");
+      }
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -0,0 +1,255 @@
+package org.acaciapond.sidecar.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.standin.StandInStore;
+import org.acaciapond.standin.StandInTarget;
+import org.acaciapond.standin.StoreFault;
+
+/** One seeded run: a mesh of processes under load, a series of faults, and the checks. */
+final class SoakRun implements AutoCloseable {
+
+  private static final int MACHINES = 4;
+  private static final int SLOTS = 6;
+  private static final int REQUEST_MS = 15;
+  private static final int CHECK_IN_MS = 300;
+  private static final int DRAIN_MS = 2_000;
+  private static final Duration WAIT = Duration.ofSeconds(60);
+  private static final String STATE =
+      """
+      {"version":%d,
+       "routes":{"columns":["name","host","path_prefix","kind","timeout_ms","target_latency_ms",
+         "priority","service","max_attempts"],
+        "rows":[["r1","127.0.0.1","/views/","idempotent",2000,800,2,"orders",3],
+                ["r2","127.0.0.1","/orders/","non_idempotent",2000,800,1,"orders",3],
+                ["r3","127.0.0.1","/v%d/","idempotent",2000,800,2,"orders",3]]},
+       "services":{"columns":["name","health_check_path","max_connections"],
+        "rows":[["orders","/health",100]]},
+       "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000}}
+      """;
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(2))
+          .build();
+  private final Random random;
+  private final StandInStore store;
+  private final List<StandInTarget> targets = new ArrayList<>();
+  private final List<FaultProxy> targetProxies = new ArrayList<>();
+  private final List<FaultProxy> storeProxies = new ArrayList<>();
+  private final List<SoakNode> nodes = new ArrayList<>();
+  private final Map<String, Integer> orders = new ConcurrentHashMap<>();
+  private final List<String> wrongAnswers = new ArrayList<>();
+  private final List<String> faults = new ArrayList<>();
+  private final long seed;
+  private final CountDownLatch left = new CountDownLatch(1);
+  private int leaver = -1;
+  private int stateVersion;
+  private long sequence;
+  private int number;
+
+  SoakRun(long seed, Path directory) {
+    this.seed = seed;
+    this.random = new Random(seed);
+    TimeSource time = TimeSource.system();
+    store = new StandInStore(vertx, "127.0.0.1", 0, time);
+    store.start().await().atMost(WAIT);
+    nextState();
+    for (int i = 0; i < MACHINES; i++) {
+      StandInTarget target = new StandInTarget(vertx, "i-" + i, "orders", "127.0.0.1", 0, time);
+      target.start().await().atMost(WAIT);
+      targets.add(target);
+      FaultProxy toTarget = new FaultProxy(vertx, target.port());
+      FaultProxy toStore = new FaultProxy(vertx, store.port());
+      targetProxies.add(toTarget);
+      storeProxies.add(toStore);
+      String zone = "z" + i % 2;
+      SoakNode node =
+          new SoakNode(directory, "n" + i, zone, "orders", toTarget.start(), toStore.start());
+      nodes.add(node);
+      node.start();
+    }
+    vertx.setPeriodic(CHECK_IN_MS, id -> checkIn());
+  }
+
+  private void nextState() {
+    stateVersion++;
+    store.put("op", "config", STATE.formatted(stateVersion, stateVersion));
+  }
+
+  private void checkIn() {
+    sequence++;
+    for (int i = 0; i < MACHINES; i++) {
+      if (i != leaver) {
+        targets.get(i).checkIn("127.0.0.1", nodes.get(i).controlPort, "v1", SLOTS, false, sequence);
+      }
+    }
+  }
+
+  /** Waits until each node serves the newest state. */
+  void awaitServing() throws InterruptedException {
+    for (int i = 0; i < MACHINES; i++) {
+      long endNanos = System.nanoTime() + WAIT.toNanos();
+      while (!serves(i)) {
+        assertTrue(System.nanoTime() < endNanos, "node " + i + " does not serve; " + this);
+        restartEnded();
+        Thread.sleep(100);
+      }
+    }
+  }
+
+  private boolean serves(int node) throws InterruptedException {
+    String path = "/v" + stateVersion + "/" + number++;
+    try {
+      return client
+              .send(
+                  request(node, "GET", path, "probe-" + number),
+                  HttpResponse.BodyHandlers.ofString())
+              .statusCode()
+          == 200;
+    } catch (java.io.IOException e) {
+      return false;
+    }
+  }
+
+  private HttpRequest request(int node, String method, String path, String id) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + nodes.get(node).outboundPort + path))
+        .method(method, HttpRequest.BodyPublishers.noBody())
+        .timeout(Duration.ofSeconds(5))
+        .header("X-Attempt-Id", id)
+        .header("X-Timeout-Ms", "2000")
+        .build();
+  }
+
+  /** Sends requests and injects faults for a time, then takes all faults back. */
+  void strike(Duration duration) throws InterruptedException {
+    long endNanos = System.nanoTime() + duration.toNanos();
+    long nextFaultNanos = System.nanoTime();
+    while (System.nanoTime() < endNanos) {
+      send();
+      if (System.nanoTime() >= nextFaultNanos) {
+        inject(random.nextInt(MACHINES));
+        nextFaultNanos = System.nanoTime() + (200 + random.nextInt(600)) * 1_000_000L;
+      }
+      restartEnded();
+      Thread.sleep(REQUEST_MS);
+    }
+    store.fault(StoreFault.NONE);
+    targetProxies.forEach(proxy -> proxy.mode(FaultProxy.Mode.PASS));
+    storeProxies.forEach(proxy -> proxy.mode(FaultProxy.Mode.PASS));
+    nodes.forEach(SoakNode::resume);
+  }
+
+  private void restartEnded() {
+    nodes.stream().filter(node -> !node.running()).forEach(SoakNode::start);
+  }
+
+  private void send() {
+    boolean order = random.nextBoolean();
+    String id = "c" + seed + "-" + number++;
+    String path = (order ? "/orders/" : "/views/") + number;
+    client
+        .sendAsync(
+            request(random.nextInt(MACHINES), order ? "POST" : "GET", path, id),
+            HttpResponse.BodyHandlers.ofString())
+        .whenComplete(
+            (response, error) -> {
+              int status = response == null ? 0 : response.statusCode();
+              if (order) {
+                orders.put(id, status);
+              }
+              boolean signed =
+                  response != null
+                      && response.headers().firstValue("X-Server-Signature").isPresent();
+              if (status == 200 && !(signed && response.body().equals("ran " + path))) {
+                synchronized (wrongAnswers) {
+                  wrongAnswers.add(id + " " + path + ": " + response.body());
+                }
+              }
+            });
+  }
+
+  private void inject(int machine) {
+    FaultProxy.Mode mode = FaultProxy.Mode.values()[random.nextInt(5)];
+    int kind = random.nextInt(9);
+    faults.add(kind + "@" + machine + ":" + mode);
+    SoakNode node = nodes.get(machine);
+    switch (kind) {
+      case 0 -> node.kill();
+      case 1 -> node.terminate();
+      case 2 -> node.pause();
+      case 3 -> nodes.forEach(SoakNode::resume);
+      case 4 -> targetProxies.get(machine).mode(mode);
+      case 5 -> storeProxies.get(machine).mode(mode);
+      case 6 -> store.fault(StoreFault.values()[random.nextInt(StoreFault.values().length)]);
+      case 7 -> nextState();
+      default -> leave(machine);
+    }
+  }
+
+  // One target leaves for good in a run, so that the others can carry the load.
+  private void leave(int machine) {
+    if (leaver < 0) {
+      leaver = machine;
+      targets.get(machine).leave("127.0.0.1", nodes.get(machine).controlPort, left::countDown);
+    }
+  }
+
+  /** Checks the promises from what callers and targets have seen. */
+  void check() throws InterruptedException {
+    boolean confirmed = left.await(0, TimeUnit.SECONDS);
+    if (confirmed) {
+      Thread.sleep(DRAIN_MS);
+    }
+    int runsOfLeaver = confirmed ? targets.get(leaver).runs() : 0;
+    for (int i = 0; i < 50; i++) {
+      send();
+      Thread.sleep(REQUEST_MS);
+    }
+    // Longer than any request may wait.
+    Thread.sleep(2_500);
+    assertEquals(List.of(), wrongAnswers, toString());
+    orders.forEach(
+        (id, status) -> {
+          int runs = targets.stream().mapToInt(target -> target.runs(id)).sum();
+          assertTrue(runs <= 1, "order " + id + " ran " + runs + " times; " + this);
+          assertTrue(status != 503 || runs == 0, "order " + id + " was refused and ran; " + this);
+        });
+    if (confirmed) {
+      assertEquals(runsOfLeaver, targets.get(leaver).runs(), "target that left ran; " + this);
+    }
+    assertTrue(orders.containsValue(200), "no order was served; " + this);
+  }
+
+  @Override
+  public void close() {
+    nodes.forEach(SoakNode::kill);
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  @Override
+  public String toString() {
+    return "seed " + seed + ", faults (kind@machine:mode) " + faults;
+  }
+}
