--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultSoakTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultSoakTest.java
@@ -12,8 +12,8 @@
  * refused, answers of other requests, work for targets that left, nodes that never serve again.
  *
  * <p>More seeds by hand: {@code mvn -B -pl acaciapond-sidecar -am test -Dtest=FaultSoakTest
- * -Dsurefire.failIfNoSpecifiedTests=false -Dacaciapond.soak.from=1
- * -Dacaciapond.soak.to=50 -Dacaciapond.soak.seconds=12}.
+ * -Dsurefire.failIfNoSpecifiedTests=false -Dacaciapond.soak.from=1 -Dacaciapond.soak.to=50
+ * -Dacaciapond.soak.seconds=12}.
  */
 class FaultSoakTest {
 
