--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -20,6 +20,7 @@
   // Steepness of the chance to miss a time, for run times that spread like a lognormal variable
   // with a deviation of one half.
   private static final double SPREAD_EXPONENT = 3.4;
+  // Parts of a request's worth.
   private static final double OTHER_DOMAIN_COST_A_KB = 0.15;
   // Request, headers and frames of a call, beside the body of its answer.
   private static final double CALL_BYTES = 400;
@@ -52,7 +53,7 @@
   }
 
   /**
-   * Returns the candidate with the lowest expected time among those that pass and that would most
+   * Returns the candidate with the lowest expected loss among those that pass and that would most
    * likely take the request, or null.
    */
   public @Nullable Candidate choose(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
@@ -101,7 +101,12 @@
     store
         .read(StoreArea.MOVES)
         .subscribe()
-        .with(this::onRows, error -> vertx.setTimer(READ_RETRY_MS, id -> start(peers)));
+        .with(
+            this::onRows,
+            error -> {
+              log.event("move_rows_unread", "error", error.getMessage());
+              vertx.setTimer(READ_RETRY_MS, id -> start(peers));
+            });
   }
 
   private void onRows(StoreRows rows) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/ProgressRow.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/ProgressRow.java
@@ -66,7 +66,7 @@
       return;
     }
     busy = true;
-    store.read(StoreArea.MOVES).subscribe().with(this::onRows, error -> retry());
+    store.read(StoreArea.MOVES).subscribe().with(this::onRows, this::failed);
   }
 
   private void onRows(StoreRows rows) {
@@ -103,7 +103,7 @@
             value,
             held == null ? 0 : held.version())
         .subscribe()
-        .with(outcome -> onWritten(state, outcome), error -> retry());
+        .with(outcome -> onWritten(state, outcome), this::failed);
   }
 
   private void onWritten(MoveState state, WriteOutcome outcome) {
@@ -128,6 +128,11 @@
     }
   }
 
+  private void failed(Throwable error) {
+    log.event("move_row_failed", "service", order.service(), "error", error.getMessage());
+    retry();
+  }
+
   private void retry() {
     vertx.setTimer(RETRY_MS, id -> read());
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -130,7 +130,12 @@
     store
         .write(StoreArea.NODES, self.key(), PeerCodec.encodeNode(self), expected)
         .subscribe()
-        .with(this::onWritten, error -> onWritten(WriteOutcome.UNKNOWN));
+        .with(
+            this::onWritten,
+            error -> {
+              log.event("node_unregistered", "error", error.getMessage());
+              onWritten(WriteOutcome.UNKNOWN);
+            });
   }
 
   // Whatever the outcome, the next read shows what the table holds.
