Take the ports of soaked nodes below the range of the system's connections

Its port was free when it was chosen and had to stay free until the node's start; a connection on the control port by hand gives exit code 4 at each start.

--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -2,9 +2,14 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.acaciapond.sidecar.SidecarMain;
 import org.jspecify.annotations.Nullable;
@@ -13,6 +18,10 @@
 final class SoakNode {
 
   private static final long EXIT_S = 20;
+  private static final int LAST_LINES = 12;
+  private static final int MIN_PORT = 10_000;
+  private static final int MAX_PORT = 30_000;
+  private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
 
   final int outboundPort = freePort();
   final int controlPort = freePort();
@@ -54,11 +63,32 @@
                 storePort));
   }
 
+  // Below the ports that the system gives to connections: one of those would take the port of a
+  // node
+  // between this check and the node's start, or while the node is down.
   private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        if (GIVEN.add(socket.getLocalPort())) {
+          return port;
+        }
+      } catch (BindException e) {
+        // Another listener has it.
+        continue;
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  /** Returns the end of what the node has written. */
+  String lastLines() {
+    try {
+      List<String> lines = Files.readAllLines(directory.resolve(key + ".log"));
+      return String.join("\n", lines.subList(Math.max(0, lines.size() - LAST_LINES), lines.size()));
     } catch (IOException e) {
-      throw new IllegalStateException(e);
+      return "no log: " + e.getMessage();
     }
   }
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -111,7 +112,9 @@
     for (int i = 0; i < MACHINES; i++) {
       long endNanos = System.nanoTime() + WAIT.toNanos();
       while (!serves(i)) {
-        assertTrue(System.nanoTime() < endNanos, "node " + i + " does not serve; " + this);
+        if (System.nanoTime() > endNanos) {
+          fail("node " + i + " does not serve; " + this + "\n" + nodes.get(i).lastLines());
+        }
         restartEnded();
         Thread.sleep(100);
       }
