Sum the work ahead of a call in one place; weigh a target's load once a choice

Read-through, behaviour unchanged: the door summed what waits in two loops, and the choice computed the pending calls of each target twice for urgent requests, on the path of a request. Two bounds of Candidate.urgentPending that always held are gone.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/DoorQueue.java
@@ -82,7 +82,7 @@
       return new Offer<>(Offer.Decision.RUN, 0, List.of());
     }
     Ticket<T> ticket = new Ticket<>(call, type, nextNumber++, workUs);
-    double waitUs = waitUs(ticket);
+    double waitUs = waitBehindUs(waiting.headSet(ticket));
     double limitUs = limitUs(type, workUs, nowNanos);
     if (slots == 0 || waitUs > limitUs) {
       int retryAfterMs = (int) Math.max(MIN_RETRY_AFTER_MS, (waitUs - limitUs) / 1000);
@@ -103,9 +103,9 @@
     return running >= slots ? times.overallUs() : 0;
   }
 
-  private double waitUs(Ticket<T> ticket) {
+  private double waitBehindUs(Iterable<Ticket<T>> calls) {
     double aheadUs = firstSlotUs();
-    for (Ticket<T> ahead : waiting.headSet(ticket)) {
+    for (Ticket<T> ahead : calls) {
       aheadUs += ahead.workUs;
     }
     return aheadUs / Math.max(1, slots);
@@ -187,10 +187,6 @@
 
   /** Returns after how many milliseconds a refused call would find room. */
   public int retryAfterMs() {
-    double aheadUs = firstSlotUs();
-    for (Ticket<T> ticket : waiting) {
-      aheadUs += ticket.workUs;
-    }
-    return (int) Math.max(MIN_RETRY_AFTER_MS, aheadUs / Math.max(1, slots) / 1000);
+    return (int) Math.max(MIN_RETRY_AFTER_MS, waitBehindUs(waiting) / 1000);
   }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -134,9 +134,8 @@
   /** Returns the estimated calls that an urgent call would wait behind or run beside. */
   public double urgentPending(long nowNanos) {
     int slots = Math.max(1, status.slots());
-    double before = load.running() + load.urgentQueued();
-    double others = Math.max(0, before - Math.min(ownAtReport, before));
-    double own = Math.min(outstanding, Math.max(urgentOutstanding, Math.min(outstanding, slots)));
+    double others = Math.max(0, load.running() + load.urgentQueued() - ownAtReport);
+    double own = Math.max(urgentOutstanding, Math.min(outstanding, slots));
     return Math.min(pending(nowNanos), own + aged(others, nowNanos));
   }
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -79,8 +79,10 @@
       Candidate candidate, double typicalUs, double otherDomainCost, Demand demand, long nowNanos) {
     int slots = Math.max(1, candidate.status().slots());
     double serviceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
-    double pending = candidate.pending(nowNanos);
-    double before = WaitLimit.urgent(demand.rank()) ? candidate.urgentPending(nowNanos) : pending;
+    double before =
+        WaitLimit.urgent(demand.rank())
+            ? candidate.urgentPending(nowNanos)
+            : candidate.pending(nowNanos);
     double ordinaryUs = demand.runUs() > 0 ? demand.runUs() : typicalUs;
     double runUs = ordinaryUs * candidate.slowness(typicalUs);
     double waitUs = 0;
