--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
@@ -1,10 +1,14 @@
 package org.acaciapond.http;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
-/** Headers of a message as names and values in turn. */
+/** Headers of a message as names and values in turn, and queries. */
 public final class HttpMessage {
 
   private HttpMessage() {}
@@ -67,4 +71,18 @@
     }
     return false;
   }
+
+  /** Returns the parameters of a query; a part without a name or an equals sign is left out. */
+  public static Map<String, String> query(String text) {
+    Map<String, String> values = new HashMap<>();
+    for (String pair : text.split("&")) {
+      int equals = pair.indexOf('=');
+      if (equals > 0) {
+        values.put(
+            pair.substring(0, equals),
+            URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
+      }
+    }
+    return values;
+  }
 }
