--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LivenessCheck.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LivenessCheck.java
@@ -17,7 +17,7 @@
   // A node tells those that wait for its target of the load four times a second, so a longer
   // silence is unusual.
   private static final long SUSPICIOUS_SILENCE_NANOS = 600 * MS;
-  // A machine under full load still answers within this time.
+  // A host under full load still answers within this time.
   private static final long ANSWER_NANOS = 1_000 * MS;
   private static final double IDLE_SPREAD = 0.4;
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -105,7 +105,7 @@
         writeGrant(out, grant);
       }
     } else if (message instanceof PeerMessage.Evidence evidence) {
-      out.packInt(EVIDENCE).packString(evidence.zone()).packLong(evidence.orderNumber());
+      out.packInt(EVIDENCE).packString(evidence.domain()).packLong(evidence.orderNumber());
       out.packInt(evidence.counts().size());
       for (RouteCounts counts : evidence.counts()) {
         writeCounts(out, counts);
@@ -151,14 +151,14 @@
         yield new PeerMessage.Moves(grants);
       }
       case EVIDENCE -> {
-        String zone = in.unpackString();
+        String domain = in.unpackString();
         long order = in.unpackLong();
         int count = readCount(in);
         List<RouteCounts> counts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
           counts.add(readCounts(in));
         }
-        yield new PeerMessage.Evidence(zone, order, counts);
+        yield new PeerMessage.Evidence(domain, order, counts);
       }
       default ->
           throw new PeerException(
@@ -187,7 +187,7 @@
 
   private static void writeNode(MessageBufferPacker out, NodeRecord node) throws IOException {
     out.packString(node.key()).packString(node.host()).packInt(node.port());
-    out.packString(node.zone()).packString(node.service()).packLong(node.startedMs());
+    out.packString(node.domain()).packString(node.service()).packLong(node.startedMs());
   }
 
   private static NodeRecord readNode(MessageUnpacker in) throws IOException {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -67,11 +67,12 @@
   /**
    * Calls to versions of a service that moves, as the sender saw them since its last report.
    *
-   * @param zone failure domain of the sender
+   * @param domain failure domain of the sender
    * @param orderNumber number of the order
    * @param counts calls by version and route
    */
-  record Evidence(String zone, long orderNumber, List<RouteCounts> counts) implements PeerMessage {}
+  record Evidence(String domain, long orderNumber, List<RouteCounts> counts)
+      implements PeerMessage {}
 
   /** One row of the operator. */
   record HeldRow(String key, long rowVersion, byte[] value) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
@@ -3,8 +3,8 @@
 /**
  * Checked settings of a sidecar node.
  *
- * @param nodeKey stable key of the machine
- * @param zone failure domain
+ * @param nodeKey stable key of the host
+ * @param domain failure domain
  * @param service service of the target beside the node
  * @param outbound address for clients and for the target's own calls
  * @param ready address of the readiness question
@@ -18,7 +18,7 @@
  */
 public record SidecarSettings(
     String nodeKey,
-    String zone,
+    String domain,
     String service,
     SocketAddressSetting outbound,
     SocketAddressSetting ready,
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -13,7 +13,7 @@
   private static final double SUDDEN_SLOWNESS = 2;
 
   private final String node;
-  private final String zone;
+  private final String domain;
   private volatile TargetStatus status;
   private TargetLoad load = TargetLoad.NONE;
   private long loadAtNanos;
@@ -26,9 +26,9 @@
   private int slownessSamples;
 
   /** Creates a candidate. */
-  public Candidate(String node, String zone, TargetStatus status) {
+  public Candidate(String node, String domain, TargetStatus status) {
     this.node = node;
-    this.zone = zone;
+    this.domain = domain;
     this.status = status;
   }
 
@@ -38,8 +38,8 @@
   }
 
   /** Returns the failure domain of the target. */
-  public String zone() {
-    return zone;
+  public String domain() {
+    return domain;
   }
 
   /** Returns the latest status. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -36,19 +36,19 @@
   private static final double MIN_WAIT_US = 5_000;
 
   private final String localNode;
-  private final String localZone;
+  private final String localDomain;
   private final DoubleSupplier random;
 
   /**
    * Creates a chooser.
    *
    * @param localNode key of this node
-   * @param localZone failure domain of this node
+   * @param localDomain failure domain of this node
    * @param random uniform draws from [0, 1)
    */
-  public TargetChooser(String localNode, String localZone, DoubleSupplier random) {
+  public TargetChooser(String localNode, String localDomain, DoubleSupplier random) {
     this.localNode = localNode;
-    this.localZone = localZone;
+    this.localDomain = localDomain;
     this.random = random;
   }
 
@@ -99,7 +99,7 @@
             + (1 - LATE_LOSS) * missChance(runUs, demand.leftUs() - waitUs);
     cost += LOAD_COST * before / slots;
     cost += candidate.failureShare();
-    if (!candidate.zone().equals(localZone)) {
+    if (!candidate.domain().equals(localDomain)) {
       cost += otherDomainCost;
     } else if (!candidate.node().equals(localNode)) {
       cost += OTHER_NODE_COST;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -12,9 +12,9 @@
 
   private final TargetChooser chooser = new TargetChooser("n1", "z1", () -> 0);
 
-  private static Candidate candidate(String node, String zone, Phase phase) {
+  private static Candidate candidate(String node, String domain, Phase phase) {
     return new Candidate(
-        node, zone, new TargetStatus("i-" + node, 1, "s", "v1", phase, 2, 0, false, 1));
+        node, domain, new TargetStatus("i-" + node, 1, "s", "v1", phase, 2, 0, false, 1));
   }
 
   @Test
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -48,7 +48,7 @@
   // all connections have fallen silent; the second one stands by.
   private static final Duration FIRST_READER_WAIT = Duration.ofMillis(1_200);
   private static final Duration SECOND_READER_WAIT = Duration.ofSeconds(5);
-  // Clients stop to use a machine after two missed readiness questions, one a second.
+  // Clients stop using a node after two missed readiness questions, one a second.
   private static final int UNREADY_MS = 2_300;
   // Other nodes use the target until most of their calls could no longer end before the process.
   private static final int DOOR_LEAVES_MS = 1_200;
@@ -104,7 +104,7 @@
             settings.nodeKey(),
             settings.peer().host(),
             settings.peer().port(),
-            settings.zone(),
+            settings.domain(),
             settings.service(),
             time.now().toEpochMilli());
     operator = new OperatorState(codec, states, log, metrics);
@@ -115,7 +115,7 @@
             store,
             codec,
             self.key(),
-            self.zone(),
+            self.domain(),
             new MoveSteps(settings.bounds().newVersionShare()),
             log,
             time);
@@ -124,7 +124,7 @@
     operator.onOrder(moves::order);
     SidecarSettings.Bounds bounds = settings.bounds();
     budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatWindowMs());
-    TargetChooser chooser = new TargetChooser(self.key(), self.zone(), random);
+    TargetChooser chooser = new TargetChooser(self.key(), self.domain(), random);
     router =
         new RequestRouter(
             vertx, settings, codec, door, states, network, chooser, budget, moves, moves, log,
@@ -191,8 +191,8 @@
   public Uni<Void> start() {
     log.event(
         "start",
-        "zone",
-        settings.zone(),
+        "domain",
+        settings.domain(),
         "service",
         settings.service(),
         "outbound",
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -211,7 +211,7 @@
     // bytes.
     if (chosen == null
         || chosen.avoided(nowNanos)
-        || !chosen.zone().equals(router.settings.zone())
+        || !chosen.domain().equals(router.settings.domain())
         || chosen.pending(nowNanos) >= SECOND_TRY_MOST_BUSY * chosen.status().slots()
         || !mayRepeat()) {
       return;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/move/MoveService.java
@@ -46,7 +46,7 @@
   private final MeshStore store;
   private final PlatformCodec codec;
   private final String nodeKey;
-  private final String zone;
+  private final String domain;
   private final MoveSteps steps;
   private final EventLog log;
   private final TimeSource time;
@@ -81,7 +81,7 @@
       MeshStore store,
       PlatformCodec codec,
       String nodeKey,
-      String zone,
+      String domain,
       MoveSteps steps,
       EventLog log,
       TimeSource time) {
@@ -89,7 +89,7 @@
     this.store = store;
     this.codec = codec;
     this.nodeKey = nodeKey;
-    this.zone = zone;
+    this.domain = domain;
     this.steps = steps;
     this.log = log;
     this.time = time;
@@ -198,7 +198,7 @@
   public void accept(PeerMessage.Evidence reported) {
     for (Running move : moves.values()) {
       if (move.order.number() == reported.orderNumber()) {
-        judge(move).accept(reported.zone(), move.elapsedMs(), reported.counts());
+        judge(move).accept(reported.domain(), move.elapsedMs(), reported.counts());
       }
     }
   }
@@ -239,10 +239,10 @@
           counts.stream().filter(each -> each.service().equals(move.order.service())).toList();
       if (judgeKey.equals(nodeKey)) {
         MoveJudge judge = judge(move);
-        judge.accept(zone, move.elapsedMs(), own);
+        judge.accept(domain, move.elapsedMs(), own);
         decide(move, judge);
       } else if (!own.isEmpty()) {
-        peers.send(judgeKey, new PeerMessage.Evidence(zone, move.order.number(), own));
+        peers.send(judgeKey, new PeerMessage.Evidence(domain, move.order.number(), own));
       }
     }
     if (moves.isEmpty()) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -83,7 +83,7 @@
     inbound = new InboundPeers(vertx, self, door, states, moves, new Greetings(), log, time);
     door.onStatus(this::ownStatusChanged);
     targets = new TargetView(time);
-    targets.apply(self.key(), self.zone(), door.status(), door.load());
+    targets.apply(self.key(), self.domain(), door.status(), door.load());
   }
 
   @Override
@@ -114,7 +114,13 @@
     log.event("node_learned", "peer", node.key(), "host", node.host(), "service", node.service());
     PeerLink link =
         new PeerLink(
-            vertx, client, node, node.zone().equals(self.zone()), new LinkEvents(), random, time);
+            vertx,
+            client,
+            node,
+            node.domain().equals(self.domain()),
+            new LinkEvents(),
+            random,
+            time);
     links.put(node.key(), link);
     link.connect();
   }
@@ -188,10 +194,10 @@
     for (PeerLink link : links.values()) {
       if (link.connected()) {
         NodeRecord node = link.node();
-        peers.add(new DomainView.Peer(node.key(), node.zone(), link.readsStore()));
+        peers.add(new DomainView.Peer(node.key(), node.domain(), link.readsStore()));
       }
     }
-    return new DomainView(self.key(), self.zone(), peers);
+    return new DomainView(self.key(), self.domain(), peers);
   }
 
   /** Returns whether the store serves this node, as far as it knows. */
@@ -239,7 +245,7 @@
   }
 
   private void ownStatusChanged(TargetStatus status) {
-    targets.apply(self.key(), self.zone(), status, door.load());
+    targets.apply(self.key(), self.domain(), status, door.load());
     publishStatus();
   }
 
@@ -315,7 +321,7 @@
         onStatus(link, status);
       } else if (message instanceof PeerMessage.Hello hello) {
         if (!hello.node().key().equals(link.node().key())) {
-          // Another machine has the address now.
+          // Another host has the address now.
           learn(hello.node());
         } else {
           link.node(hello.node());
@@ -338,7 +344,7 @@
       link.readsStore(message.readsStore());
       TargetStatus status = message.status();
       boolean changed =
-          targets.apply(link.node().key(), link.node().zone(), status, message.load());
+          targets.apply(link.node().key(), link.node().domain(), status, message.load());
       if (changed && !status.open()) {
         log.event(
             "peer_target",
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/TargetView.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/TargetView.java
@@ -32,12 +32,12 @@
   }
 
   /** Applies the status of the target beside a node; returns whether it tells something new. */
-  boolean apply(String node, String zone, TargetStatus status, TargetLoad load) {
+  boolean apply(String node, String domain, TargetStatus status, TargetLoad load) {
     remember(node, status);
     Candidate held = candidates.get(node);
     final boolean changed = held == null || held.status().number() != status.number();
     if (held == null) {
-      held = new Candidate(node, zone, status);
+      held = new Candidate(node, domain, status);
       candidates.put(node, held);
       index();
     } else {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -121,7 +121,7 @@
   private boolean sameAddress(NodeRecord node) {
     return node.host().equals(self.host())
         && node.port() == self.port()
-        && node.zone().equals(self.zone())
+        && node.domain().equals(self.domain())
         && node.service().equals(self.service());
   }
 
