Split the log of the door and the times of a request off their classes

Log lines of the door, the times that a request has and a call that has not ended stand in classes of their own; the exchange with the target builds the reply that it belongs to.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -42,9 +42,7 @@
   private final String id;
   private final Route route;
   private final String service;
-  private final int limitMs;
-  private final long deadlineNanos;
-  private final long objectiveNanos;
+  private final RequestTimes times;
   private final double draw;
   private final int rank;
   private final boolean ofRepeat;
@@ -62,19 +60,6 @@
   private long timer = -1;
   private long secondTryTimer = -1;
 
-  /** One call to a node that has not ended. */
-  private static final class Attempt {
-    final Candidate candidate;
-    final long startNanos;
-    boolean done;
-    @Nullable Runnable giveUp;
-
-    Attempt(Candidate candidate, long startNanos) {
-      this.candidate = candidate;
-      this.startNanos = startNanos;
-    }
-  }
-
   RoutedRequest(
       RequestRouter router,
       HttpExchange exchange,
@@ -90,19 +75,16 @@
     this.id = id;
     this.route = route;
     this.service = service;
-    this.limitMs = limitMs;
+    this.times = new RequestTimes(router.time, exchange.receivedNanos(), limitMs, route);
     this.draw = draw;
     this.rank = rank;
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.ofRepeat = ofRepeat;
-    this.deadlineNanos = exchange.receivedNanos() + limitMs * 1_000_000L;
-    int objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
-    this.objectiveNanos = exchange.receivedNanos() + objectiveMs * 1_000_000L;
   }
 
   void start() {
     exchange.onClose(this::clientLeft);
-    int leftMs = leftMs();
+    int leftMs = times.leftMs();
     if (leftMs <= 0) {
       finish(503, "expired", HttpAnswer.empty(503, List.of("Retry-After", "0")));
       return;
@@ -111,12 +93,8 @@
     next();
   }
 
-  private int leftMs() {
-    return (int) ((deadlineNanos - router.time.nanoTime()) / 1_000_000);
-  }
-
   private void next() {
-    if (leftMs() <= 0) {
+    if (times.leftMs() <= 0) {
       deadlineReached();
       return;
     }
@@ -147,7 +125,6 @@
     List<Candidate> candidates = router.network.candidates(service);
     Predicate<Candidate> version =
         router.versions.forRequest(service, candidates, tried.isEmpty() ? draw : 1);
-    long nowNanos = router.time.nanoTime();
     return router.chooser.choose(
         candidates,
         candidate -> !tried.contains(candidate.node()) && version.test(candidate),
@@ -155,17 +132,17 @@
             router.answerBytes(route.name()),
             router.times.runUs(route.name()),
             rank,
-            (objectiveNanos - nowNanos) / 1e3,
-            (deadlineNanos - nowNanos) / 1e3),
-        nowNanos);
+            times.objectiveLeftUs(),
+            times.leftUs()),
+        router.time.nanoTime());
   }
 
   private void send(Candidate chosen) {
     tried.add(chosen.node());
     last = chosen;
     long nowNanos = router.time.nanoTime();
-    int leftMs = leftMs();
-    int objectiveLeftMs = (int) ((objectiveNanos - nowNanos) / 1_000_000);
+    int leftMs = times.leftMs();
+    int objectiveLeftMs = times.objectiveLeftMs();
     MeshCall call =
         new MeshCall(
             id,
@@ -245,18 +222,11 @@
   private void giveUpOpen() {
     List<Attempt> left = new ArrayList<>(open);
     open.clear();
-    for (Attempt attempt : left) {
-      Runnable giveUp = attempt.giveUp;
-      attempt.giveUp = null;
-      if (giveUp != null && !attempt.done) {
-        attempt.done = true;
-        giveUp.run();
-      }
-    }
+    left.forEach(Attempt::abandon);
   }
 
   private void onReply(Candidate from, MeshReply reply) {
-    log.attempt(from, reply, leftMs());
+    log.attempt(from, reply, times.leftMs());
     if (reply.reason() != Reason.NONE) {
       lastReason = reply.reason();
     }
@@ -350,7 +320,7 @@
 
   // The first send to a target is free, each further one draws on the budget.
   private boolean mayRepeat() {
-    if (sentToTargets + open.size() >= route.maxAttempts() || leftMs() < MIN_REPEAT_LEFT_MS) {
+    if (sentToTargets + open.size() >= route.maxAttempts() || times.leftMs() < MIN_REPEAT_LEFT_MS) {
       return false;
     }
     boolean allowed =
@@ -381,7 +351,8 @@
   private void deadlineReached() {
     for (Attempt attempt : open) {
       // The answer would have been at least this slow.
-      router.witness.saw(attempt.candidate, route.name(), CallResult.SUCCESS, limitMs * 1_000.0);
+      router.witness.saw(
+          attempt.candidate, route.name(), CallResult.SUCCESS, times.limitMs() * 1_000.0);
     }
     if (failure != null && open.isEmpty()) {
       endWithoutTarget();
@@ -403,7 +374,7 @@
     router.vertx.cancelTimer(timer);
     router.vertx.cancelTimer(secondTryTimer);
     router.ended(this);
-    long nanos = router.time.nanoTime() - exchange.receivedNanos();
+    long nanos = times.sinceNanos();
     Candidate tried = last;
     log.ended(
         end,
@@ -414,7 +385,7 @@
         "service",
         service,
         "limit_ms",
-        limitMs,
+        times.limitMs(),
         "sent",
         sentToTargets,
         "refusals",
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetDoor.java
@@ -34,7 +34,7 @@
   private static final int SWEEP_INTERVAL_MS = 1_000;
 
   private final Vertx vertx;
-  private final EventLog log;
+  private final DoorLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final String service;
@@ -108,7 +108,7 @@
       NodeMetrics metrics,
       TimeSource time) {
     this.vertx = vertx;
-    this.log = log;
+    this.log = new DoorLog(log);
     this.metrics = metrics;
     this.time = time;
     this.service = settings.service();
@@ -126,7 +126,7 @@
   public void checkIn(CheckIn checkIn) {
     if (!checkIn.service().equals(service)) {
       metrics.checkIn("other_service");
-      log.event("check_in_ignored", "id", checkIn.id(), "service", checkIn.service());
+      log.otherService(checkIn);
       return;
     }
     final CheckIn before = lifecycle.latest();
@@ -144,22 +144,7 @@
       connections.closeIdle();
       health.clear();
     }
-    log.event(
-        "target_status",
-        "id",
-        held.id(),
-        "born_ms",
-        held.bornMs(),
-        "sequence",
-        held.sequence(),
-        "version",
-        held.version(),
-        "slots",
-        held.slots(),
-        "from",
-        phaseBefore,
-        "to",
-        lifecycle.phase());
+    log.status(held, phaseBefore, lifecycle.phase());
     statusChanged();
   }
 
@@ -167,7 +152,7 @@
   public void leave(String id, long bornMs) {
     boolean changed = lifecycle.deregister(id, bornMs, time.now().toEpochMilli());
     metrics.checkIn("leave");
-    log.event("target_left", "id", id, "born_ms", bornMs, "held", changed);
+    log.left(id, bornMs, changed);
     if (changed) {
       statusChanged();
     }
@@ -176,8 +161,7 @@
   /** Applies what another node remembers of the target from before this node's start. */
   public void recall(TargetStatus remembered) {
     boolean changed = lifecycle.recall(remembered.id(), remembered.bornMs(), remembered.phase());
-    log.event(
-        "target_recalled", "id", remembered.id(), "phase", remembered.phase(), "held", changed);
+    log.recalled(remembered.id(), remembered.phase(), changed);
     if (changed) {
       statusChanged();
     }
@@ -187,7 +171,7 @@
   public void settle() {
     if (!settled) {
       settled = true;
-      log.event("door_settled", "phase", lifecycle.phase());
+      log.settled(lifecycle.phase());
       statusChanged();
     }
   }
@@ -326,7 +310,7 @@
         connection -> send(call, connection),
         error -> {
           health.failed();
-          log.request("target_unreachable", "id", call.call.id(), "error", error.getMessage());
+          log.unreachable(call.call, error);
           call.end(refused(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
   }
@@ -372,36 +356,23 @@
       case NOT_RUN -> {
         health.failed();
         metrics.targetTime("not_run", runNanos);
-        log.request("target_refused", "id", call.id(), "status", answer.status());
+        log.refused(call, answer.status());
         doorCall.end(
             MeshReply.without(Outcome.NOT_RUN, Reason.TURNED_AWAY, queue.retryAfterMs(), load()));
       }
       case BAD -> {
         health.failed();
-        log.request("bad_answer", "id", call.id(), "status", answer.status());
+        log.badAnswer(call, answer.status());
         doorCall.end(MeshReply.without(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
       }
       default -> {
         health.answered(call, answer.status(), runNanos);
         metrics.targetTime(answer.status() < 300 ? "ok" : "status_" + answer.status(), runNanos);
-        endAnswered(doorCall, answer, runNanos);
+        doorCall.end(exchange.reply(answer, runNanos, load()));
       }
     }
   }
 
-  private void endAnswered(DoorCall doorCall, HttpAnswer answer, long runNanos) {
-    doorCall.end(
-        new MeshReply(
-            Outcome.ANSWERED,
-            Reason.NONE,
-            0,
-            answer.status(),
-            exchange.returned(answer),
-            answer.body(),
-            (int) Math.min(Integer.MAX_VALUE, runNanos / 1_000),
-            load()));
-  }
-
   private void onFailure(DoorCall doorCall, boolean badAnswer, String message) {
     if (doorCall.ended) {
       return;
@@ -409,16 +380,7 @@
     health.failed();
     long runNanos = time.nanoTime() - doorCall.sentNanos;
     metrics.targetTime("broken", runNanos);
-    log.request(
-        "target_broke",
-        "id",
-        doorCall.call.id(),
-        "after_ms",
-        runNanos / 1_000_000,
-        "bad_answer",
-        badAnswer,
-        "error",
-        message);
+    log.broke(doorCall.call, runNanos, badAnswer, message);
     doorCall.end(
         MeshReply.without(
             Outcome.UNKNOWN, badAnswer ? Reason.BAD_ANSWER : Reason.BROKEN, 0, load()));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/door/TargetExchange.java
@@ -6,7 +6,11 @@
 import org.acaciapond.http.HttpAnswer;
 import org.acaciapond.http.HttpMessage;
 import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshReply;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
+import org.acaciapond.mesh.target.TargetLoad;
 
 /** Requests to a target, and the meaning of what it answers. */
 final class TargetExchange {
@@ -67,8 +71,16 @@
     return encoded || (answer.status() < 300 && !signed) ? Meaning.BAD : Meaning.ANSWER;
   }
 
-  /** Returns the headers of an answer that travel back; the caller knows the id. */
-  List<String> returned(HttpAnswer answer) {
-    return HttpMessage.endToEnd(answer.headers(), List.of(names.callId()));
+  /** Returns the reply that carries an answer back; the caller knows the id. */
+  MeshReply reply(HttpAnswer answer, long runNanos, TargetLoad load) {
+    return new MeshReply(
+        Outcome.ANSWERED,
+        Reason.NONE,
+        0,
+        answer.status(),
+        HttpMessage.endToEnd(answer.headers(), List.of(names.callId())),
+        answer.body(),
+        (int) Math.min(Integer.MAX_VALUE, runNanos / 1_000),
+        load);
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -31,10 +31,10 @@
   private final TimeSource time;
   private final DoubleSupplier random;
   private final Listener listener;
+  private final LivenessCheck liveness;
   private final Map<Long, Consumer<MeshReply>> calls = new HashMap<>();
   private NodeRecord node;
   private @Nullable PeerSocket socket;
-  private final LivenessCheck liveness;
   private boolean readsStore = true;
   private boolean connecting;
   private boolean stopped;
