Listen on sockets in one class for clients and for nodes

Read-through, behaviour unchanged: the HTTP listener and the connections of other nodes started, stopped and named their port by the same lines.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -2,8 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -12,7 +10,6 @@
 import java.util.function.Supplier;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
-import org.jspecify.annotations.Nullable;
 
 /** Listener for HTTP/1.1 requests; all its connections belong to one event loop. */
 public final class HttpListener implements ManagedService {
@@ -39,14 +36,12 @@
   }
 
   private final Vertx vertx;
-  private final String host;
-  private final int port;
+  private final SocketServer server;
   private final Supplier<ServerLimits> limits;
   private final Consumer<HttpExchange> handler;
   private final Events events;
   private final TimeSource time;
   private final Set<ServerConnection> connections = new LinkedHashSet<>();
-  private @Nullable NetServer server;
   private long timer = -1;
   private boolean closesConnections;
 
@@ -60,8 +55,7 @@
       Events events,
       TimeSource time) {
     this.vertx = vertx;
-    this.host = host;
-    this.port = port;
+    this.server = new SocketServer(vertx, host, port, this::accept);
     this.limits = limits;
     this.handler = handler;
     this.events = events;
@@ -70,40 +64,27 @@
 
   @Override
   public Uni<Void> start() {
-    return Uni.createFrom()
-        .emitter(
-            emitter -> {
-              NetServer created =
-                  vertx.createNetServer(
-                      new NetServerOptions().setHost(host).setPort(port).setReuseAddress(true));
-              server = created;
-              created.connectHandler(
-                  socket -> {
-                    ServerConnection connection =
-                        new ServerConnection(this, (NetSocketInternal) socket, limits.get(), time);
-                    connections.add(connection);
-                    connection.start();
-                  });
-              timer = vertx.setPeriodic(CHECK_INTERVAL_MS, id -> checkTimes());
-              created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
-            });
+    return server
+        .start()
+        .onItem()
+        .invoke(() -> timer = vertx.setPeriodic(CHECK_INTERVAL_MS, id -> checkTimes()));
   }
 
   @Override
   public Uni<Void> stop() {
     vertx.cancelTimer(timer);
-    NetServer running = server;
-    if (running == null) {
-      return Uni.createFrom().voidItem();
-    }
-    return Uni.createFrom()
-        .emitter(emitter -> running.close().onComplete(done -> emitter.complete(null)));
+    return server.stop();
   }
 
   /** Returns the port in use. */
   public int port() {
-    NetServer running = server;
-    return running == null ? port : running.actualPort();
+    return server.port();
+  }
+
+  private void accept(NetSocketInternal socket) {
+    ServerConnection connection = new ServerConnection(this, socket, limits.get(), time);
+    connections.add(connection);
+    connection.start();
   }
 
   /** Tells clients with each answer that the connection ends. */
--- /dev/null
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/SocketServer.java
@@ -0,0 +1,58 @@
+package org.acaciapond.http;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.function.Consumer;
+import org.acaciapond.common.lifecycle.ManagedService;
+import org.jspecify.annotations.Nullable;
+
+/** Listener for connections on one address; all of them belong to one event loop. */
+public final class SocketServer implements ManagedService {
+
+  private final Vertx vertx;
+  private final String host;
+  private final int port;
+  private final Consumer<NetSocketInternal> onSocket;
+  private @Nullable NetServer server;
+
+  /** Creates a server that takes connections from its start on. */
+  public SocketServer(Vertx vertx, String host, int port, Consumer<NetSocketInternal> onSocket) {
+    this.vertx = vertx;
+    this.host = host;
+    this.port = port;
+    this.onSocket = onSocket;
+  }
+
+  @Override
+  public Uni<Void> start() {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              NetServer created =
+                  vertx.createNetServer(
+                      new NetServerOptions().setHost(host).setPort(port).setReuseAddress(true));
+              server = created;
+              created.connectHandler(socket -> onSocket.accept((NetSocketInternal) socket));
+              created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
+            });
+  }
+
+  @Override
+  public Uni<Void> stop() {
+    NetServer running = server;
+    if (running == null) {
+      return Uni.createFrom().voidItem();
+    }
+    return Uni.createFrom()
+        .emitter(emitter -> running.close().onComplete(done -> emitter.complete(null)));
+  }
+
+  /** Returns the port in use. */
+  public int port() {
+    NetServer running = server;
+    return running == null ? port : running.actualPort();
+  }
+}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -2,8 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,18 +10,17 @@
 import java.util.Set;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.SocketServer;
 import org.acaciapond.mesh.move.MoveGrant;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.sidecar.door.TargetDoor;
 import org.acaciapond.sidecar.telemetry.EventLog;
-import org.jspecify.annotations.Nullable;
 
 /** Connections that other nodes made to this one, and the calls to the own target on them. */
 final class InboundPeers implements ManagedService {
 
-  private final Vertx vertx;
-  private final NodeRecord self;
+  private final SocketServer server;
   private final TargetDoor door;
   private final StateExchange states;
   private final MoveExchange moves;
@@ -31,7 +28,6 @@
   private final EventLog log;
   private final TimeSource time;
   private final Map<PeerSocket, Inbound> connections = new HashMap<>();
-  private @Nullable NetServer server;
 
   /** What this node says to one that connects to it. */
   interface Greeter {
@@ -61,8 +57,7 @@
       Greeter greeter,
       EventLog log,
       TimeSource time) {
-    this.vertx = vertx;
-    this.self = self;
+    this.server = new SocketServer(vertx, self.host(), self.port(), this::accept);
     this.door = door;
     this.states = states;
     this.moves = moves;
@@ -73,29 +68,12 @@
 
   @Override
   public Uni<Void> start() {
-    return Uni.createFrom()
-        .emitter(
-            emitter -> {
-              NetServer created =
-                  vertx.createNetServer(
-                      new NetServerOptions()
-                          .setHost(self.host())
-                          .setPort(self.port())
-                          .setReuseAddress(true));
-              server = created;
-              created.connectHandler(socket -> accept((NetSocketInternal) socket));
-              created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
-            });
+    return server.start();
   }
 
   @Override
   public Uni<Void> stop() {
-    NetServer running = server;
-    if (running == null) {
-      return Uni.createFrom().voidItem();
-    }
-    return Uni.createFrom()
-        .emitter(emitter -> running.close().onComplete(done -> emitter.complete(null)));
+    return server.stop();
   }
 
   /** Sends a message on all connections. */
