Log what a state from a peer cost and how long calls were on their way

Calls and greetings carry the sender's monotonic time as a last field, which nodes of earlier releases ignore; call_late shows a call that was on its way for 0.2 s longer than the fastest message of its connection. No decision uses it yet.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -21,8 +21,9 @@
 
 /**
  * MessagePack codec of the messages on one connection between nodes. Fields are written in the
- * order of the record components, except that the URI of a call precedes its method. Messages must
- * be decoded in the order in which they were encoded, because both sides build the same string
+ * order of the record components, except that the URI of a call precedes its method. New fields are
+ * added at the end of a message, where nodes of earlier releases ignore them. Messages must be
+ * decoded in the order in which they were encoded, because both sides build the same string
  * dictionary.
  */
 public final class PeerCodec {
@@ -67,7 +68,7 @@
     if (message instanceof PeerMessage.Hello hello) {
       out.packInt(HELLO);
       writeNode(out, hello.node());
-      out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes());
+      out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes()).packLong(hello.sentMs());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
@@ -76,6 +77,7 @@
     } else if (message instanceof PeerMessage.Call call) {
       out.packInt(CALL).packLong(call.callNumber());
       writeCall(out, call.call());
+      out.packLong(call.sentMs());
     } else if (message instanceof PeerMessage.Response response) {
       out.packInt(RESPONSE).packLong(response.callNumber());
       writeResponse(out, response.response());
@@ -118,10 +120,12 @@
   private PeerMessage read(MessageUnpacker in) throws IOException {
     int type = in.unpackInt();
     return switch (type) {
-      case HELLO -> new PeerMessage.Hello(readNode(in), in.unpackLong(), in.unpackBoolean());
+      case HELLO ->
+          new PeerMessage.Hello(
+              readNode(in), in.unpackLong(), in.unpackBoolean(), readOptionalLong(in));
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
-      case CALL -> new PeerMessage.Call(in.unpackLong(), readCall(in));
+      case CALL -> new PeerMessage.Call(in.unpackLong(), readCall(in), readOptionalLong(in));
       case RESPONSE -> new PeerMessage.Response(in.unpackLong(), readResponse(in));
       case CANCEL -> new PeerMessage.Cancel(in.unpackLong());
       case PING -> new PeerMessage.Ping(in.unpackLong());
@@ -354,6 +358,11 @@
     return in.readPayload(in.unpackBinaryHeader());
   }
 
+  // Reads a field that nodes of earlier releases do not send.
+  private static long readOptionalLong(MessageUnpacker in) throws IOException {
+    return in.hasNext() ? in.unpackLong() : 0;
+  }
+
   private static int readListSize(MessageUnpacker in) throws IOException {
     int count = in.unpackInt();
     if (count < 0 || count > MAX_LIST_ENTRIES) {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -18,8 +18,10 @@
    * @param rowVersion highest version of the operator rows at the sender, -1 for none
    * @param wantsNodes whether the sender has not read the table of nodes and requests the nodes
    *     that the receiver knows
+   * @param sentMs monotonic time of the sender, 0 if unknown
    */
-  record Hello(NodeRecord node, long rowVersion, boolean wantsNodes) implements PeerMessage {}
+  record Hello(NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs)
+      implements PeerMessage {}
 
   /**
    * State of the sender's target, sent on change and to show that the connection is alive.
@@ -37,8 +39,9 @@
    *
    * @param callNumber number of the call on this connection
    * @param call call to execute
+   * @param sentMs monotonic time of the sender, 0 if unknown
    */
-  record Call(long callNumber, MeshCall call) implements PeerMessage {}
+  record Call(long callNumber, MeshCall call, long sentMs) implements PeerMessage {}
 
   /**
    * Response to a call.
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/TransitDelay.java
@@ -0,0 +1,34 @@
+package org.acaciapond.mesh.peer;
+
+/**
+ * Estimate of how long the messages of one connection were on their way. The clocks of two hosts
+ * are not comparable, so the delay is relative to the fastest message of the last seconds.
+ */
+public final class TransitDelay {
+
+  // The clock of a suspended host stands still, which makes all later messages look late until the
+  // window is over.
+  private static final long WINDOW_NANOS = 5_000_000_000L;
+
+  private long windowStartNanos;
+  private long previousMinMs = Long.MAX_VALUE;
+  private long currentMinMs = Long.MAX_VALUE;
+
+  /**
+   * Returns how much longer a message was on its way than the fastest one, in milliseconds.
+   *
+   * @param sentMs monotonic time of the sender at which it sent the message
+   * @param receivedNanos monotonic time of this node at which it handles the message
+   */
+  public int measureMs(long sentMs, long receivedNanos) {
+    if (receivedNanos - windowStartNanos > WINDOW_NANOS) {
+      previousMinMs = currentMinMs;
+      currentMinMs = Long.MAX_VALUE;
+      windowStartNanos = receivedNanos;
+    }
+    long differenceMs = receivedNanos / 1_000_000 - sentMs;
+    currentMinMs = Math.min(currentMinMs, differenceMs);
+    long fastestMs = Math.min(currentMinMs, previousMinMs);
+    return (int) Math.min(Integer.MAX_VALUE, differenceMs - fastestMs);
+  }
+}
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -36,7 +36,7 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
@@ -68,7 +68,8 @@
             "id", "POST", "/a?b", List.of("h", "v"), body, 500, -3, -1, "r", "s", "i", false, true);
     PeerMessage.Call decodedCall =
         assertInstanceOf(
-            PeerMessage.Call.class, receiver.decode(sender.encode(new PeerMessage.Call(9, call))));
+            PeerMessage.Call.class,
+            receiver.decode(sender.encode(new PeerMessage.Call(9, call, 77))));
     assertArrayEquals(body, decodedCall.call().body());
     assertEquals(call.headers(), decodedCall.call().headers());
     assertEquals(-3, decodedCall.call().objectiveLeftMs());
@@ -114,7 +115,7 @@
               "i-target",
               true,
               false);
-      byte[] encoded = sender.encode(new PeerMessage.Call(i, call));
+      byte[] encoded = sender.encode(new PeerMessage.Call(i, call, 77));
       bytes[i] = encoded.length;
       PeerMessage.Call decodedCall =
           assertInstanceOf(PeerMessage.Call.class, receiver.decode(encoded));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -311,6 +311,9 @@
   /** Exchanges the operator's rows with peers. */
   private final class PeerStateExchange implements StateExchange {
     private final StateRequestLimiter requestLimiter = new StateRequestLimiter();
+    // When a peer first announced rows that are newer than those of this node, 0 if none did.
+    private long behindSinceNanos;
+    private int requestCount;
 
     @Override
     public long rowVersion() {
@@ -327,6 +330,9 @@
       if (version <= operatorState.version()) {
         return;
       }
+      if (behindSinceNanos == 0) {
+        behindSinceNanos = time.nanoTime();
+      }
       // A node that reads changes from the store gets this one at the same time as the peer, so it
       // requests the rows from the peer only if they have not arrived after a delay.
       boolean readsChanges = desiredState.current() == null || network.readerRank() <= 1;
@@ -339,19 +345,42 @@
 
     private void requestRows(long version, Runnable sendRequest) {
       if (requestLimiter.tryRequest(operatorState.version(), version, time.nanoTime())) {
+        requestCount++;
         sendRequest.run();
       }
     }
 
+    @Override
+    public void onRowsSent(int bytes) {
+      metrics.countStateBytesSent(bytes);
+    }
+
     @Override
     public void accept(List<PeerMessage.StateRow> rows) {
       requestLimiter.responseReceived();
+      logReceived(rows);
       operatorState.apply(
           rows.stream()
               .map(row -> new StoreRow(row.key(), row.value(), row.rowVersion(), false))
               .toList(),
           "peer");
     }
+
+    private void logReceived(List<PeerMessage.StateRow> rows) {
+      long behindNanos = behindSinceNanos == 0 ? 0 : time.nanoTime() - behindSinceNanos;
+      log.event(
+          "state_received",
+          "rows",
+          rows.size(),
+          "bytes",
+          rows.stream().mapToInt(row -> row.value().length).sum(),
+          "requests",
+          requestCount,
+          "behind_ms",
+          behindNanos / 1_000_000);
+      behindSinceNanos = 0;
+      requestCount = 0;
+    }
   }
 
   /** Logs rejected requests and counts failed connections. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -13,6 +13,7 @@
 import org.acaciapond.http.SocketServer;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.peer.TransitDelay;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -20,6 +21,9 @@
 /** Connections that other nodes opened to this one, and the calls to the local target on them. */
 final class InboundPeers implements ManagedService {
 
+  // Calls that were on their way for longer are logged.
+  private static final int LATE_CALL_MS = 200;
+
   private final SocketServer server;
   private final TargetGateway gateway;
   private final StateExchange stateExchange;
@@ -44,6 +48,7 @@
   /** State of one connection, with the calls that run on it. */
   private static final class InboundConnection {
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
+    final TransitDelay transit = new TransitDelay();
     String key = "";
     long loadSentNanos;
   }
@@ -142,15 +147,33 @@
       socket.send(new PeerMessage.Pong(ping.number()));
     } else if (message instanceof PeerMessage.Hello hello) {
       connection.key = hello.node().key();
+      transitMs(connection, hello.sentMs());
       handshake.onHello(hello).forEach(socket::send);
     } else if (message instanceof PeerMessage.StateRequest) {
-      socket.send(new PeerMessage.StateRows(stateExchange.rows()));
+      stateExchange.onRowsSent(socket.send(new PeerMessage.StateRows(stateExchange.rows())));
     } else if (message instanceof PeerMessage.Evidence evidence) {
       rolloutExchange.accept(evidence);
     }
   }
 
+  private int transitMs(InboundConnection connection, long sentMs) {
+    return sentMs == 0 ? 0 : connection.transit.measureMs(sentMs, time.nanoTime());
+  }
+
   private void onCall(PeerSocket socket, InboundConnection connection, PeerMessage.Call message) {
+    int transitMs = transitMs(connection, message.sentMs());
+    if (transitMs > LATE_CALL_MS) {
+      log.request(
+          "call_late",
+          "id",
+          message.call().id(),
+          "peer",
+          connection.key,
+          "transit_ms",
+          transitMs,
+          "left_ms",
+          message.call().leftMs());
+    }
     boolean[] completed = {false};
     TargetGateway.GatewayCall call =
         gateway.submit(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -195,7 +195,7 @@
       pendingSinceNanos = time.nanoTime();
     }
     calls.put(callNumber, callback);
-    current.send(new PeerMessage.Call(callNumber, call));
+    current.send(new PeerMessage.Call(callNumber, call, time.nanoTime() / 1_000_000));
     return () -> {
       if (calls.remove(callNumber) != null) {
         current.send(new PeerMessage.Cancel(callNumber));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -257,7 +257,8 @@
   }
 
   private PeerMessage.Hello hello() {
-    return new PeerMessage.Hello(self, stateExchange.rowVersion(), wantsNodes);
+    return new PeerMessage.Hello(
+        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000);
   }
 
   private void check() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -64,12 +64,15 @@
         });
   }
 
-  void send(PeerMessage message) {
-    if (!closed) {
-      byte[] bytes = codec.encode(message);
-      socket.write(
-          Buffer.buffer(LENGTH_BYTES + bytes.length).appendInt(bytes.length).appendBytes(bytes));
+  /** Sends a message; returns the number of bytes written, 0 if the connection is closed. */
+  int send(PeerMessage message) {
+    if (closed) {
+      return 0;
     }
+    byte[] bytes = codec.encode(message);
+    socket.write(
+        Buffer.buffer(LENGTH_BYTES + bytes.length).appendInt(bytes.length).appendBytes(bytes));
+    return LENGTH_BYTES + bytes.length;
   }
 
   /** Returns the monotonic time at which the last message was received. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/StateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/StateExchange.java
@@ -19,6 +19,13 @@
    */
   void onPeerVersion(long version, Runnable requestRows);
 
+  /**
+   * Records that operator rows were sent to a peer.
+   *
+   * @param bytes length of the message
+   */
+  void onRowsSent(int bytes);
+
   /** Applies rows that a peer sent. */
   void accept(List<PeerMessage.StateRow> rows);
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -23,6 +23,7 @@
   private final Counter storeCalls;
   private final Counter checkIns;
   private final Counter connections;
+  private final Counter stateBytesSent;
   private final Histogram requestSeconds;
   private final Histogram targetSeconds;
   private final Gauge stateVersion;
@@ -43,6 +44,11 @@
     connections =
         registerCounter(
             "acaciapond_target_connections_total", "New connections to the target.", "result");
+    stateBytesSent =
+        Counter.builder()
+            .name("acaciapond_state_bytes_sent_total")
+            .help("Bytes of operator rows sent to other nodes.")
+            .register(registry);
     requestSeconds =
         registerHistogram("acaciapond_request_seconds", "Time of a request at this node.");
     targetSeconds = registerHistogram("acaciapond_target_seconds", "Time of a call in the target.");
@@ -108,6 +114,11 @@
     targetSeconds.labelValues(end).observe(nanos / 1e9);
   }
 
+  /** Counts operator rows sent to another node. */
+  public void countStateBytesSent(int bytes) {
+    stateBytesSent.inc(bytes);
+  }
+
   /** Sets the version of the current desired state. */
   public void setStateVersion(long version) {
     stateVersion.set(version);
