--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -18,19 +18,26 @@
 import org.acaciapond.standin.StandInTarget;
 
 /** Test fixture: a target and its node on loopback; the node can be killed and restarted. */
-final class TestMachine {
+public final class TestMachine {
+
+  /** Address of all nodes and targets. */
+  public static final String HOST = "127.0.0.1";
 
-  static final String HOST = "127.0.0.1";
   private static final Duration WAIT = Duration.ofSeconds(20);
 
-  final StandInTarget target;
-  final SidecarSettings settings;
+  /** Target beside the node. */
+  public final StandInTarget target;
+
+  /** Settings of the node. */
+  public final SidecarSettings settings;
+
   private final Vertx targetVertx;
   private Vertx nodeVertx = Vertx.vertx();
   private SidecarProcess process;
   private long sequence;
 
-  TestMachine(String key, String service, String targetId, StandInStore store) {
+  /** Starts a target and its node. */
+  public TestMachine(String key, String service, String targetId, StandInStore store) {
     targetVertx = Vertx.vertx();
     target = new StandInTarget(targetVertx, targetId, service, HOST, 0, TimeSource.system());
     target.start().await().atMost(WAIT);
@@ -98,7 +105,8 @@
     return stopped;
   }
 
-  void checkIn(boolean draining) {
+  /** Sends a check-in of the target to the node. */
+  public void checkIn(boolean draining) {
     sequence++;
     target.checkIn(HOST, settings.control().port(), "v1", 4, draining, sequence);
   }
@@ -107,7 +115,8 @@
     target.deregister(HOST, settings.control().port());
   }
 
-  void close() {
+  /** Stops the node and the target. */
+  public void close() {
     nodeVertx.close().toCompletionStage().toCompletableFuture().join();
     targetVertx.close().toCompletionStage().toCompletableFuture().join();
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultProxy.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultProxy.java
@@ -11,12 +11,12 @@
 import java.util.Set;
 
 /** TCP proxy on loopback that forwards, delays, drops or resets the bytes of connections. */
-final class FaultProxy {
+public final class FaultProxy {
 
-  private static final int DELAY_MS = 150;
+  private static final int DEFAULT_DELAY_MS = 150;
 
   /** Fault of the proxy. */
-  enum Mode {
+  public enum Mode {
     /** Bytes are forwarded. */
     PASS,
     /** Bytes are forwarded after a delay. */
@@ -33,6 +33,7 @@
   private final NetClient client;
   private final NetServer server;
   private final int serverPort;
+  private final int delayMs;
   private final Set<Pair> pairs = new HashSet<>();
   private volatile Mode mode = Mode.PASS;
 
@@ -55,19 +56,27 @@
   }
 
   FaultProxy(Vertx vertx, int serverPort) {
+    this(vertx, serverPort, DEFAULT_DELAY_MS);
+  }
+
+  /** Creates a proxy whose mode {@link Mode#DELAY} holds bytes for the given time. */
+  public FaultProxy(Vertx vertx, int serverPort, int delayMs) {
     this.vertx = vertx;
+    this.delayMs = delayMs;
     this.serverPort = serverPort;
     // With a linger time of 0, closing a socket resets the connection.
     this.client = vertx.createNetClient(new NetClientOptions().setSoLinger(0));
     this.server = vertx.createNetServer(new NetServerOptions().setHost("127.0.0.1").setSoLinger(0));
   }
 
-  int start() {
+  /** Starts the proxy and returns its port. */
+  public int start() {
     server.connectHandler(this::accept);
     return server.listen(0).toCompletionStage().toCompletableFuture().join().actualPort();
   }
 
-  void setMode(Mode next) {
+  /** Sets the fault of all connections. */
+  public void setMode(Mode next) {
     mode = next;
     if (next == Mode.RESET) {
       vertx.runOnContext(on -> Set.copyOf(pairs).forEach(Pair::close));
@@ -110,7 +119,7 @@
       return;
     }
     if (mode == Mode.DELAY) {
-      vertx.setTimer(DELAY_MS, id -> to.write(bytes));
+      vertx.setTimer(delayMs, id -> to.write(bytes));
     } else {
       to.write(bytes);
     }
