Ask again for a state that a peer announced during a request

Cause: StateRequestLimiter dropped an announcement that came while a request was open. If the response was older than the announcement, nothing asked until some peer announced again. After 300 ms the next announcer was asked for the same rows, which doubles the load of links that are the reason for the delay. Evidence: versionAnnouncedDuringRequestIsRequestedAfterTheResponse got no second request within 5 s before this change. Change: StateRequestScheduler keeps the version that each connected peer has announced, asks one peer at a time, asks the next one at once after a response that is too old, and doubles its timeout up to 2.4 s until a response arrives. The check of each 250 ms sends what is due without a further announcement. A starting node waits 0.5 s for the store before it asks a peer for the whole state, and no longer 0.1 s, in which no large state arrives.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -26,7 +26,6 @@
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
 import org.acaciapond.sidecar.peer.PeerNetwork;
-import org.acaciapond.sidecar.peer.StateExchange;
 import org.acaciapond.sidecar.rollout.RolloutService;
 import org.acaciapond.sidecar.state.NodeRegistry;
 import org.acaciapond.sidecar.state.OperatorState;
@@ -119,12 +118,13 @@
             new RolloutSteps(settings.bounds().newVersionShare()),
             log,
             time);
-    StateExchange stateExchange =
+    OperatorStateExchange stateExchange =
         new OperatorStateExchange(
             vertx, operatorState, this::receivesChangesFromStore, log, metrics, time);
     network =
         new PeerNetwork(vertx, self, gateway, stateExchange, rollouts, log, metrics, random, time);
     operatorState.setChangeListener(network::announceRows);
+    stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
     SidecarSettings.Bounds bounds = settings.bounds();
     retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMs());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -267,6 +267,7 @@
     lastCheckNanos = nowNanos;
     links.values().forEach(link -> link.check(onTime));
     inbound.sendLoadToWaitingPeers(CHECK_INTERVAL_MS);
+    stateExchange.check();
     metrics.setConnectedPeers(connectedPeerCount());
   }
 
@@ -313,6 +314,7 @@
     public void onDisconnected(PeerLink link, String reason) {
       log.event("peer_lost", "peer", link.node().key(), "reason", reason);
       targets.remove(link.node().key());
+      stateExchange.onPeerDisconnected(link.node().key());
     }
 
     @Override
@@ -334,7 +336,7 @@
         } else {
           link.updateNode(hello.node());
         }
-        stateExchange.onPeerVersion(hello.rowVersion(), () -> link.send(stateExchange.request()));
+        stateExchange.onPeerVersion(link.node().key(), hello.rowVersion());
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::addOrUpdateNode);
         receivedNodeLists++;
@@ -367,7 +369,7 @@
             "node_leaving",
             status.nodeLeaving());
       }
-      stateExchange.onPeerVersion(message.rowVersion(), () -> link.send(stateExchange.request()));
+      stateExchange.onPeerVersion(link.node().key(), message.rowVersion());
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/StateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/StateExchange.java
@@ -7,19 +7,22 @@
   /** Returns the highest version of the operator rows at this node, -1 for none. */
   long rowVersion();
 
-  /** Returns the request for the rows that this node lacks. */
-  PeerMessage.StateRequest request();
-
   /** Returns the response to the request of a peer. */
   PeerMessage response(PeerMessage.StateRequest request);
 
   /**
    * Handles the announcement of the row version at a peer.
    *
+   * @param peer key of the peer
    * @param version highest version of the operator rows at the peer
-   * @param sendRequest sends a request to the peer
    */
-  void onPeerVersion(long version, Runnable sendRequest);
+  void onPeerVersion(String peer, long version);
+
+  /** Forgets what a peer announced that is no longer connected. */
+  void onPeerDisconnected(String peer);
+
+  /** Called periodically; sends a request that is due. */
+  void check();
 
   /**
    * Records that operator rows were sent to a peer.
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
@@ -3,11 +3,12 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.PeerException;
 import org.acaciapond.mesh.peer.PeerMessage;
-import org.acaciapond.mesh.peer.StateRequestLimiter;
+import org.acaciapond.mesh.peer.StateRequestScheduler;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.sidecar.peer.StateExchange;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -19,6 +20,9 @@
   // A node that reads changes from the store gets this one at the same time as the peer, so it
   // requests the rows from the peer only if they have not arrived after a delay.
   private static final int STORE_READER_DELAY_MS = 100;
+  // A starting node reads the whole state from the store, which takes longer than one change.
+  private static final int STARTING_NODE_DELAY_MS = 500;
+  private static final long NOT_BEHIND = Long.MIN_VALUE;
 
   private final Vertx vertx;
   private final OperatorState state;
@@ -26,10 +30,11 @@
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
-  private final StateRequestLimiter requestLimiter = new StateRequestLimiter();
+  private final StateRequestScheduler scheduler = new StateRequestScheduler();
+  private BiConsumer<String, PeerMessage> requestSender = (peer, message) -> {};
   private boolean deltaRejected;
-  // When a peer first announced rows that are newer than those of this node, 0 if none did.
-  private long behindSinceNanos;
+  // When a peer first announced rows that are newer than those of this node.
+  private long behindSinceNanos = NOT_BEHIND;
   private int requestCount;
 
   /**
@@ -57,8 +62,7 @@
     return state.version();
   }
 
-  @Override
-  public PeerMessage.StateRequest request() {
+  private PeerMessage.StateRequest request() {
     return new PeerMessage.StateRequest(true, deltaRejected ? List.of() : state.history().held());
   }
 
@@ -74,25 +78,54 @@
     metrics.countStateBytesSent(bytes);
   }
 
+  /** Sets the sender of messages to the peer with a key. */
+  public void setRequestSender(BiConsumer<String, PeerMessage> sender) {
+    requestSender = sender;
+  }
+
+  @Override
+  public void onPeerVersion(String peer, long version) {
+    scheduler.announce(peer, version);
+    boolean wasBehind = behindSinceNanos != NOT_BEHIND;
+    check();
+    boolean newlyBehind = !wasBehind && behindSinceNanos != NOT_BEHIND;
+    if (newlyBehind && receivesChangesFromStore.getAsBoolean()) {
+      vertx.setTimer(STORE_READER_DELAY_MS, id -> check());
+    }
+  }
+
   @Override
-  public void onPeerVersion(long version, Runnable sendRequest) {
-    if (version <= state.version()) {
+  public void onPeerDisconnected(String peer) {
+    scheduler.disconnected(peer);
+  }
+
+  @Override
+  public void check() {
+    if (!scheduler.isBehind(state.version())) {
+      behindSinceNanos = NOT_BEHIND;
       return;
     }
-    if (behindSinceNanos == 0) {
-      behindSinceNanos = time.nanoTime();
+    long nowNanos = time.nanoTime();
+    if (behindSinceNanos == NOT_BEHIND) {
+      behindSinceNanos = nowNanos;
     }
-    if (receivesChangesFromStore.getAsBoolean()) {
-      vertx.setTimer(STORE_READER_DELAY_MS, id -> requestRows(version, sendRequest));
-    } else {
-      requestRows(version, sendRequest);
+    if (nowNanos - behindSinceNanos >= storeReaderDelayMs() * 1_000_000L) {
+      requestRows(nowNanos);
+    }
+  }
+
+  private int storeReaderDelayMs() {
+    if (!receivesChangesFromStore.getAsBoolean()) {
+      return 0;
     }
+    return state.version() < 0 ? STARTING_NODE_DELAY_MS : STORE_READER_DELAY_MS;
   }
 
-  private void requestRows(long version, Runnable sendRequest) {
-    if (requestLimiter.tryRequest(state.version(), version, time.nanoTime())) {
+  private void requestRows(long nowNanos) {
+    String peer = scheduler.nextPeer(state.version(), nowNanos);
+    if (peer != null) {
       requestCount++;
-      sendRequest.run();
+      requestSender.accept(peer, request());
     }
   }
 
@@ -121,17 +154,18 @@
   }
 
   private void apply(List<PeerMessage.StateRow> rows, int bytes) {
-    requestLimiter.responseReceived();
     logReceived(rows.size(), bytes);
     state.apply(
         rows.stream()
             .map(row -> new StoreRow(row.key(), row.value(), row.rowVersion(), false))
             .toList(),
         "peer");
+    scheduler.responseReceived(state.version(), time.nanoTime());
+    check();
   }
 
   private void logReceived(int rows, int bytes) {
-    long behindNanos = behindSinceNanos == 0 ? 0 : time.nanoTime() - behindSinceNanos;
+    long behindNanos = behindSinceNanos == NOT_BEHIND ? 0 : time.nanoTime() - behindSinceNanos;
     log.event(
         "state_received",
         "rows",
@@ -142,7 +176,7 @@
         requestCount,
         "behind_ms",
         behindNanos / 1_000_000);
-    behindSinceNanos = 0;
+    behindSinceNanos = NOT_BEHIND;
     requestCount = 0;
   }
 }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
@@ -25,7 +25,6 @@
 import org.acaciapond.standin.StandInStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests how nodes pass on the desired state to each other. */
@@ -142,7 +141,6 @@
 
   /** Guards against a node that stays behind if a version is announced during a request. */
   @Test
-  @Tag("known-red")
   void versionAnnouncedDuringRequestIsRequestedAfterTheResponse() throws Exception {
     store.put("op", "config", state(1, "/first"));
     TestPeer peer = new TestPeer(vertx);
