Cut off targets that send bytes without end

What callers would see: a target in trouble that sends informational responses, or a response to another request, without end kept a slot until the deadline of the call. Bodies without end could hold 16 MB on each connection, which a node with a heap of 64 MB does not have for all slots. Cause: only bytes of the expected body were counted, per connection. Change: all bytes that arrive for a request are counted before they are decoded, bytes without a request close the connection, and the bodies of all connections to a target share one limit of 16 MB.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/BodyBuffer.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/BodyBuffer.java
@@ -28,6 +28,15 @@
     }
   }
 
+  /** Discards the received bytes. */
+  void clear() {
+    CompositeByteBuf buffer = received;
+    if (buffer != null) {
+      received = null;
+      buffer.release();
+    }
+  }
+
   /** Returns the received bytes and clears the buffer. */
   byte[] take() {
     CompositeByteBuf buffer = received;
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -1,6 +1,9 @@
 package org.acaciapond.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,6 +32,8 @@
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 65_536;
   private static final int CHUNK_BYTES = 65_536;
+  // A late response to an earlier request may precede the expected one.
+  private static final int MAX_RESPONSES_PER_REQUEST = 2;
 
   /** Listener for the result of a request; exactly one method is called unless it is abandoned. */
   public interface Listener {
@@ -46,6 +51,7 @@
   private final NetSocketInternal socket;
   private final TimeSource time;
   private final int maxBodyBytes;
+  private final BodyBudget bodyBudget;
   private final Runnable onClosed;
   private @Nullable ClientRequest request;
   private @Nullable Listener listener;
@@ -55,13 +61,15 @@
   private boolean skippingResponse;
   private boolean reusable = true;
   private boolean closed;
+  private boolean closing;
   private boolean requestWritten;
+  private long receivedBytes;
   private boolean closeDelimitedReset;
   private long lastUsedNanos;
   private long keepAliveNanos = Long.MAX_VALUE;
 
   /**
-   * Wraps a connected socket.
+   * Wraps a connected socket that shares its budget with no other connection.
    *
    * @param socket connected socket
    * @param maxBodyBytes maximum length of a response body
@@ -70,12 +78,32 @@
    */
   public ClientConnection(
       NetSocketInternal socket, int maxBodyBytes, Runnable onClosed, TimeSource time) {
+    this(socket, maxBodyBytes, new BodyBudget(maxBodyBytes), onClosed, time);
+  }
+
+  /**
+   * Wraps a connected socket.
+   *
+   * @param socket connected socket
+   * @param maxBodyBytes maximum length of a response body
+   * @param bodyBudget limit of the bytes of all response bodies of several connections
+   * @param onClosed called once when the connection has closed
+   * @param time clock
+   */
+  public ClientConnection(
+      NetSocketInternal socket,
+      int maxBodyBytes,
+      BodyBudget bodyBudget,
+      Runnable onClosed,
+      TimeSource time) {
     this.socket = socket;
     this.maxBodyBytes = maxBodyBytes;
+    this.bodyBudget = bodyBudget;
     this.onClosed = onClosed;
     this.time = time;
     this.lastUsedNanos = time.nanoTime();
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    pipeline.addBefore("handler", "received-bytes", new ReceivedBytes());
     pipeline.addBefore(
         "handler",
         "decoder",
@@ -86,11 +114,38 @@
     socket.closeHandler(done -> onClose());
   }
 
+  /**
+   * Counts the bytes that arrive for one request, also those that the decoder discards. A server in
+   * trouble may send bytes without end that are not a response.
+   */
+  private final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+      if (message instanceof ByteBuf bytes && !accepts(bytes.readableBytes())) {
+        bytes.release();
+        fail(true, "more than " + maxReceivedBytes() + " bytes received");
+        close();
+      } else {
+        super.channelRead(context, message);
+      }
+    }
+
+    private boolean accepts(int count) {
+      receivedBytes += count;
+      return request != null && !closing && receivedBytes <= maxReceivedBytes();
+    }
+  }
+
+  private long maxReceivedBytes() {
+    return (long) maxBodyBytes * MAX_RESPONSES_PER_REQUEST + MAX_HEADER_BYTES;
+  }
+
   /** Sends a request; no other request may be in flight. */
   public void send(ClientRequest sent, Listener resultListener) {
     request = sent;
     listener = resultListener;
     requestWritten = false;
+    receivedBytes = 0;
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -128,6 +183,7 @@
   /** Closes the connection; a request in flight fails. */
   public void close() {
     reusable = false;
+    closing = true;
     if (!closed) {
       socket.close();
     }
@@ -187,12 +243,13 @@
 
   private void onContent(HttpContent content) {
     if (!skippingResponse) {
-      body.add(content.content());
-      if (body.size() > maxBodyBytes) {
-        fail(true, "response body is longer than " + maxBodyBytes + " bytes");
+      int bytes = content.content().readableBytes();
+      if (body.size() + bytes > maxBodyBytes || !bodyBudget.tryReserve(bytes)) {
+        fail(true, "response body is longer than permitted");
         close();
         return;
       }
+      body.add(content.content());
     }
     if (content instanceof LastHttpContent) {
       onEnd();
@@ -214,6 +271,7 @@
       return;
     }
     readConnectionHeaders(ended, lengthKnown);
+    bodyBudget.release(body.size());
     HttpResponse response = new HttpResponse(ended.status().code(), headers, body.take());
     final Listener resultListener = listener;
     listener = null;
@@ -266,7 +324,8 @@
     final Listener resultListener = listener;
     listener = null;
     request = null;
-    body.take();
+    bodyBudget.release(body.size());
+    body.clear();
     if (resultListener != null) {
       resultListener.requestFailed(badResponse, message);
     }
--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -18,10 +18,13 @@
 import org.acaciapond.common.time.TimeSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ClientConnectionTest {
 
   private static final int TIMEOUT_S = 10;
+  private static final long ENDLESS_BYTES = 256L << 20;
 
   private final Vertx vertx = Vertx.vertx();
 
@@ -159,4 +162,58 @@
   void closeWithoutResponseIsNotBadResponse() throws Exception {
     assertEquals("gone", exchange("", true, false).result());
   }
+
+  /** Sends the start once and then the rest without end; returns the bytes sent until the close. */
+  private static long sendEndlessly(ServerSocket server, String start, String rest) {
+    byte[] block = rest.repeat(1 + 4_096 / rest.length()).getBytes(StandardCharsets.ISO_8859_1);
+    long sent = 0;
+    try (Socket socket = server.accept()) {
+      assertTrue(socket.getInputStream().read(new byte[4_096]) > 0);
+      socket.getOutputStream().write(start.getBytes(StandardCharsets.ISO_8859_1));
+      while (sent < ENDLESS_BYTES) {
+        socket.getOutputStream().write(block);
+        sent += block.length;
+      }
+    } catch (IOException e) {
+      return sent;
+    }
+    return sent;
+  }
+
+  /** Guards against a target in trouble whose endless bytes keep a slot or fill the memory. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "head without a line end | '' | x",
+        "header lines | HTTP/1.1 200 OK~Id: mine~ | a: b~",
+        "empty lines | '' | ~",
+        "informational responses | '' | HTTP/1.1 100 Continue~~",
+        "chunked body | HTTP/1.1 200 OK~Id: mine~Transfer-Encoding: chunked~~ | 4~abcd~",
+        "body without a length | HTTP/1.1 200 OK~Id: mine~~ | abcd",
+        "body of another response | HTTP/1.1 200 OK~Id: other~~ | abcd"
+      })
+  void endlessBytesAreCutOff(String kind, String start, String rest) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<Long> sent =
+          CompletableFuture.supplyAsync(
+              () -> sendEndlessly(server, start.replace("~", "\r\n"), rest.replace("~", "\r\n")));
+      CompletableFuture<End> end = new CompletableFuture<>();
+      vertx
+          .createNetClient(new NetClientOptions())
+          .connect(server.getLocalPort(), "127.0.0.1")
+          .onSuccess(socket -> send((NetSocketInternal) socket, end));
+      assertEquals(new End("bad", false), end.get(TIMEOUT_S, TimeUnit.SECONDS), kind);
+      assertTrue(sent.get(TIMEOUT_S, TimeUnit.SECONDS) < ENDLESS_BYTES, kind);
+    }
+  }
+
+  @Test
+  void bodiesOfAllConnectionsShareTheBudget() {
+    BodyBudget budget = new BodyBudget(10);
+    assertTrue(budget.tryReserve(7));
+    assertFalse(budget.tryReserve(4));
+    budget.release(7);
+    assertTrue(budget.tryReserve(10));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.BodyBudget;
 import org.acaciapond.http.ClientConnection;
 import org.acaciapond.mesh.platform.SocketAddressSetting;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
@@ -26,6 +27,7 @@
   private final NetClient client;
   private final NodeMetrics metrics;
   private final TimeSource time;
+  private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
   TargetConnections(
@@ -62,7 +64,11 @@
               metrics.countTargetConnection("ok");
               use.accept(
                   new ClientConnection(
-                      (NetSocketInternal) socket, MAX_RESPONSE_BYTES, () -> {}, time));
+                      (NetSocketInternal) socket,
+                      MAX_RESPONSE_BYTES,
+                      responseBudget,
+                      () -> {},
+                      time));
             })
         .onFailure(
             error -> {
