Read what has arrived before work begins

Cause: a node whose event loop is behind read a request and sent it on, and read the end of the connection only in the next turn. A call between nodes ran although its cancellation was in the same bytes. Change: a client's connection is read until nothing is left, and its requests are handled after that if it is still open. Calls of other nodes are submitted after the messages that arrived with them.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -82,7 +82,8 @@
   }
 
   private void accept(NetSocketInternal socket) {
-    ServerConnection connection = new ServerConnection(this, socket, limits.get(), time);
+    ServerConnection connection =
+        new ServerConnection(this, socket, vertx.getOrCreateContext(), limits.get(), time);
     connections.add(connection);
     connection.start();
   }
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -1,6 +1,8 @@
 package org.acaciapond.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -18,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Context;
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -36,6 +39,8 @@
 
   private static final int MAX_INITIAL_LINE_BYTES = 16_384;
   private static final int CHUNK_BYTES = 65_536;
+  // Leaves time for other connections.
+  private static final int MAX_READS_AT_ONCE = 16;
   // Limits the open requests of one client; reading resumes when enough responses have been sent.
   private static final int MAX_PIPELINED = 64;
 
@@ -44,6 +49,7 @@
   private final TimeSource time;
   private final Deque<HttpExchange> exchanges = new ArrayDeque<>();
   private final ServerLimits limits;
+  private final Context context;
   private @Nullable HttpExchange reading;
   private final BodyBuffer body = new BodyBuffer();
   private long partialSinceNanos = Long.MIN_VALUE;
@@ -53,8 +59,13 @@
   private boolean paused;
 
   ServerConnection(
-      HttpListener listener, NetSocketInternal socket, ServerLimits limits, TimeSource time) {
+      HttpListener listener,
+      NetSocketInternal socket,
+      Context context,
+      ServerLimits limits,
+      TimeSource time) {
     this.listener = listener;
+    this.context = context;
     this.socket = socket;
     this.limits = limits;
     this.time = time;
@@ -62,7 +73,16 @@
   }
 
   void start() {
-    ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
+    Channel channel = socket.channelHandlerContext().channel();
+    // Reads until nothing is left, so that the end of the connection is found together with the
+    // requests before it.
+    channel
+        .config()
+        .setRecvByteBufAllocator(
+            new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAX_READS_AT_ONCE));
+    ChannelPipeline pipeline = channel.pipeline();
     pipeline.addBefore("handler", "first-bytes", new FirstBytes());
     pipeline.addBefore(
         "handler",
@@ -152,10 +172,21 @@
         paused = true;
         socket.pause();
       }
-      listener.handle(exchange);
+      handleAfterRead(exchange);
     }
   }
 
+  // A busy node may read a request after its client has left. The request is handled only after
+  // everything that has arrived on the connection was read.
+  private void handleAfterRead(HttpExchange exchange) {
+    context.runOnContext(
+        on -> {
+          if (socket.channelHandlerContext().channel().isOpen()) {
+            listener.handle(exchange);
+          }
+        });
+  }
+
   // Responds to an invalid request after the requests before it, then closes the connection.
   private void reject(int status) {
     closing = true;
--- a/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -23,7 +24,9 @@
 
   private static final int TIMEOUT_S = 10;
 
-  private final Vertx vertx = Vertx.vertx();
+  private static final int BLOCKED_MS = 500;
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final BlockingQueue<HttpExchange> requests = new LinkedBlockingQueue<>();
   private HttpListener listener;
 
@@ -92,6 +95,33 @@
     }
   }
 
+  private void blockEventLoop() {
+    vertx.runOnContext(
+        on -> {
+          try {
+            Thread.sleep(BLOCKED_MS);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
+  /** Guards against work for clients that left while a busy node had not read their requests. */
+  @Test
+  void requestOfClientThatLeftBeforeItWasReadIsNotHandled() throws Exception {
+    try (Socket left = connect("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")) {
+      respond(takeRequest(), "one");
+      readUntil(left, "one");
+      blockEventLoop();
+      left.getOutputStream()
+          .write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+    Thread.sleep(2 * BLOCKED_MS);
+    try (Socket stays = connect("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")) {
+      assertEquals("/3", takeRequest().uri());
+    }
+  }
+
   @Test
   void disconnectIsReportedToAllPipelinedRequests() throws Exception {
     CompletableFuture<Void> firstClosed = new CompletableFuture<>();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar.peer;
 
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
   private static final int LATE_CALL_MS = 200;
 
   private final SocketServer server;
+  private final Context context;
   private final TargetGateway gateway;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
@@ -47,6 +49,8 @@
 
   /** State of one connection, with the calls that run on it. */
   private static final class InboundConnection {
+    // Calls whose cancellation may be among the bytes that have arrived but are not read yet.
+    final Map<Long, PeerMessage.Call> received = new HashMap<>();
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
     final TransitDelay transit = new TransitDelay();
     String key = "";
@@ -62,6 +66,7 @@
       Handshake handshake,
       EventLog log,
       TimeSource time) {
+    this.context = vertx.getOrCreateContext();
     this.server = new SocketServer(vertx, self.host(), self.port(), this::accept);
     this.gateway = gateway;
     this.stateExchange = stateExchange;
@@ -139,10 +144,7 @@
     if (message instanceof PeerMessage.Call call) {
       onCall(socket, connection, call);
     } else if (message instanceof PeerMessage.Cancel cancel) {
-      TargetGateway.GatewayCall running = connection.calls.remove(cancel.callNumber());
-      if (running != null) {
-        running.cancel();
-      }
+      onCancel(connection, cancel.callNumber());
     } else if (message instanceof PeerMessage.Ping ping) {
       socket.send(new PeerMessage.Pong(ping.number()));
     } else if (message instanceof PeerMessage.Hello hello) {
@@ -156,6 +158,14 @@
     }
   }
 
+  private static void onCancel(InboundConnection connection, long callNumber) {
+    connection.received.remove(callNumber);
+    TargetGateway.GatewayCall running = connection.calls.remove(callNumber);
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
   private int transitMs(InboundConnection connection, long sentMs) {
     return sentMs == 0 ? 0 : connection.transit.measureMs(sentMs, time.nanoTime());
   }
@@ -174,6 +184,17 @@
           "left_ms",
           message.call().leftMs());
     }
+    connection.received.put(message.callNumber(), message);
+    context.runOnContext(
+        on -> {
+          if (connection.received.remove(message.callNumber()) != null) {
+            submit(socket, connection, message, transitMs);
+          }
+        });
+  }
+
+  private void submit(
+      PeerSocket socket, InboundConnection connection, PeerMessage.Call message, int transitMs) {
     boolean[] completed = {false};
     TargetGateway.GatewayCall call =
         gateway.submit(
@@ -193,6 +214,7 @@
     InboundConnection connection = connections.remove(socket);
     if (connection != null) {
       // The caller can no longer receive the responses.
+      connection.received.clear();
       new ArrayList<>(connection.calls.values()).forEach(TargetGateway.GatewayCall::cancel);
     }
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -32,7 +33,7 @@
   public final SidecarSettings settings;
 
   private final Vertx targetVertx;
-  private Vertx nodeVertx = Vertx.vertx();
+  private Vertx nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private SidecarProcess process;
   private long sequence;
 
@@ -92,10 +93,22 @@
     started.orTimeout(20, java.util.concurrent.TimeUnit.SECONDS).join();
   }
 
+  /** Blocks the event loop of the node, as a host without processor time does. */
+  public void blockEventLoop(int durationMs) {
+    nodeVertx.runOnContext(
+        on -> {
+          try {
+            Thread.sleep(durationMs);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
   /** Stops the node abruptly, as SIGKILL does. */
   void kill() {
     nodeVertx.close().toCompletionStage().toCompletableFuture().join();
-    nodeVertx = Vertx.vertx();
+    nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   }
 
   /** Stops the node gracefully, as the platform does. */
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -24,6 +24,7 @@
   private static final int WAIT_MS = 20_000;
   private static final int DELAY_MS = 1_500;
   private static final int CALL_LEFT_MS = 400;
+  private static final int BLOCKED_MS = 200;
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private StandInStore store;
@@ -92,4 +93,22 @@
     assertEquals(Outcome.REFUSED, response.response().outcome());
     assertEquals(0, machine.target.runs("late"));
   }
+
+  /** Guards against calls that run although their cancellation has already arrived. */
+  @Test
+  void callThatArrivedWithItsCancellationIsNotRun() throws Exception {
+    TestPeer peer = new TestPeer(vertx);
+    peer.connect(machine.settings.peer().port());
+    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
+    peer.send(new PeerMessage.Hello(self, -1, false, System.nanoTime() / 1_000_000));
+    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+
+    machine.blockEventLoop(BLOCKED_MS);
+    peer.send(call(1_000, "cancelled"));
+    peer.send(new PeerMessage.Cancel(1_000));
+    Thread.sleep(2 * BLOCKED_MS);
+
+    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+    assertEquals(0, machine.target.runs("cancelled"));
+  }
 }
