Let starting nodes ask random peers for the whole state

Cause: the first response to a node without rows is the whole state. Nodes that start together asked the peer with the newest version, in a series of changes always the first reader of their domain, whose link then delays its calls. Change: a node without rows asks a random peer that has any, and gets the rest from the newest one as a difference. Result: nodeWithoutRowsAsksRandomPeerAndThenTheNewest.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
@@ -1,9 +1,12 @@
 package org.acaciapond.mesh.peer;
 
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,6 +21,7 @@
   // A response that is slow because links are saturated must not be requested again and again.
   private static final long MAX_TIMEOUT_NANOS = 2_400_000_000L;
 
+  private final DoubleSupplier random;
   private final Map<String, Long> announced = new LinkedHashMap<>();
   // Peers that did not respond in time, or whose response lacked what they had announced.
   private final Set<String> failed = new HashSet<>();
@@ -26,6 +30,15 @@
   private long timeoutNanos = MIN_TIMEOUT_NANOS;
   private long retryFailedAtNanos;
 
+  /**
+   * Creates a scheduler.
+   *
+   * @param random uniform random numbers from [0, 1), which spread the requests of starting nodes
+   */
+  public StateRequestScheduler(DoubleSupplier random) {
+    this.random = random;
+  }
+
   /** Records the version that a connected peer has announced. */
   public void announce(String peer, long version) {
     announced.merge(peer, version, Math::max);
@@ -83,25 +96,28 @@
       addFailed(pending, nowNanos);
       retryFailedAtNanos = nowNanos;
     }
-    String next = newestPeer(knownVersion);
+    String next = choosePeer(knownVersion);
     if (next == null && nowNanos - retryFailedAtNanos >= 0) {
       failed.clear();
-      next = newestPeer(knownVersion);
+      next = choosePeer(knownVersion);
     }
     asked = next;
     askedNanos = nowNanos;
     return next;
   }
 
-  private @Nullable String newestPeer(long knownVersion) {
-    String newest = null;
-    long newestVersion = knownVersion;
-    for (Map.Entry<String, Long> peer : announced.entrySet()) {
-      if (peer.getValue() > newestVersion && !failed.contains(peer.getKey())) {
-        newest = peer.getKey();
-        newestVersion = peer.getValue();
-      }
+  private @Nullable String choosePeer(long knownVersion) {
+    List<Map.Entry<String, Long>> newer =
+        announced.entrySet().stream()
+            .filter(peer -> peer.getValue() > knownVersion && !failed.contains(peer.getKey()))
+            .toList();
+    if (newer.isEmpty()) {
+      return null;
     }
-    return newest;
+    // The first response to a node without rows is the whole state, which the newest peer alone
+    // could not send to all nodes that start together.
+    return knownVersion < 0
+        ? newer.get((int) (random.getAsDouble() * newer.size())).getKey()
+        : Collections.max(newer, Map.Entry.comparingByValue()).getKey();
   }
 }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/StateRequestSchedulerTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/StateRequestSchedulerTest.java
@@ -9,7 +9,8 @@
 
   private static final long MS = 1_000_000L;
 
-  private final StateRequestScheduler scheduler = new StateRequestScheduler();
+  private double draw;
+  private final StateRequestScheduler scheduler = new StateRequestScheduler(() -> draw);
 
   /** Guards against a starting node that requests the whole state from every peer. */
   @Test
@@ -84,6 +85,18 @@
     assertEquals("a", scheduler.nextPeer(5, 1_260 * MS));
   }
 
+  /** Guards against nodes that start together and all request the whole state from one reader. */
+  @Test
+  void nodeWithoutRowsAsksRandomPeerAndThenTheNewest() {
+    scheduler.announce("a", 9);
+    scheduler.announce("b", 8);
+    scheduler.announce("c", 8);
+    draw = 0.9;
+    assertEquals("c", scheduler.nextPeer(-1, 0));
+    scheduler.responseReceived(8, 100 * MS);
+    assertEquals("a", scheduler.nextPeer(8, 100 * MS));
+  }
+
   @Test
   void disconnectedPeerIsNotAsked() {
     scheduler.announce("a", 5);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -120,7 +120,7 @@
             time);
     OperatorStateExchange stateExchange =
         new OperatorStateExchange(
-            vertx, operatorState, this::receivesChangesFromStore, log, metrics, time);
+            vertx, operatorState, this::receivesChangesFromStore, log, metrics, random, time);
     network =
         new PeerNetwork(vertx, self, gateway, stateExchange, rollouts, log, metrics, random, time);
     operatorState.setChangeListener(network::announceRows);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.PeerException;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -30,7 +31,7 @@
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
-  private final StateRequestScheduler scheduler = new StateRequestScheduler();
+  private final StateRequestScheduler scheduler;
   private BiConsumer<String, PeerMessage> requestSender = (peer, message) -> {};
   private boolean deltaRejected;
   // When a peer first announced rows that are newer than those of this node.
@@ -48,6 +49,7 @@
       BooleanSupplier receivesChangesFromStore,
       EventLog log,
       NodeMetrics metrics,
+      DoubleSupplier random,
       TimeSource time) {
     this.vertx = vertx;
     this.state = state;
@@ -55,6 +57,7 @@
     this.log = log;
     this.metrics = metrics;
     this.time = time;
+    this.scheduler = new StateRequestScheduler(random);
   }
 
   @Override
