Split the codec of messages between nodes by their subject

The messages about rows and about rollouts have codecs of their own now, and the fields that they share a third one. The bytes on the wire are the same.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -7,12 +7,10 @@
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
-import org.acaciapond.mesh.rollout.RolloutState;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
-import org.acaciapond.rollout.evidence.LatencySketch;
 import org.acaciapond.rollout.evidence.RouteCounts;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -42,7 +40,6 @@
   private static final int EVIDENCE = 12;
   private static final int STOPPED_TARGET = 13;
   private static final int STATE_DELTAS = 14;
-  private static final int MAX_LIST_ENTRIES = 100_000;
 
   private final StringDictionary dictionary = new StringDictionary();
 
@@ -89,15 +86,14 @@
     } else if (message instanceof PeerMessage.Pong pong) {
       out.packInt(PONG).packLong(pong.number());
     } else if (message instanceof PeerMessage.StateRequest request) {
-      writeStateRequest(out, request);
+      out.packInt(STATE_REQUEST);
+      StateCodec.writeRequest(out, request);
     } else if (message instanceof PeerMessage.StateDeltas deltas) {
-      writeDeltas(out, deltas.rows());
+      out.packInt(STATE_DELTAS);
+      StateCodec.writeDeltas(out, deltas.rows());
     } else if (message instanceof PeerMessage.StateRows rows) {
-      out.packInt(STATE_ROWS).packInt(rows.rows().size());
-      for (PeerMessage.StateRow row : rows.rows()) {
-        out.packString(row.key()).packLong(row.rowVersion());
-        writeBytes(out, row.value());
-      }
+      out.packInt(STATE_ROWS);
+      StateCodec.writeRows(out, rows.rows());
     } else if (message instanceof PeerMessage.Nodes nodes) {
       out.packInt(NODES).packInt(nodes.nodes().size());
       for (NodeRecord node : nodes.nodes()) {
@@ -109,13 +105,13 @@
     } else if (message instanceof PeerMessage.Grants grants) {
       out.packInt(GRANTS).packInt(grants.grants().size());
       for (ShareGrant grant : grants.grants()) {
-        writeGrant(out, grant);
+        RolloutCodec.writeGrant(out, grant);
       }
     } else if (message instanceof PeerMessage.Evidence evidence) {
       out.packInt(EVIDENCE).packString(evidence.domain()).packLong(evidence.orderNumber());
       out.packInt(evidence.counts().size());
       for (RouteCounts counts : evidence.counts()) {
-        writeCounts(out, counts);
+        RolloutCodec.writeCounts(out, counts);
       }
     }
   }
@@ -125,26 +121,20 @@
     return switch (type) {
       case HELLO ->
           new PeerMessage.Hello(
-              readNode(in), in.unpackLong(), in.unpackBoolean(), readOptionalLong(in));
+              readNode(in), in.unpackLong(), in.unpackBoolean(), PackedFields.readOptionalLong(in));
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
-      case CALL -> new PeerMessage.Call(in.unpackLong(), readCall(in), readOptionalLong(in));
+      case CALL ->
+          new PeerMessage.Call(in.unpackLong(), readCall(in), PackedFields.readOptionalLong(in));
       case RESPONSE -> new PeerMessage.Response(in.unpackLong(), readResponse(in));
       case CANCEL -> new PeerMessage.Cancel(in.unpackLong());
       case PING -> new PeerMessage.Ping(in.unpackLong());
       case PONG -> new PeerMessage.Pong(in.unpackLong());
-      case STATE_REQUEST -> readStateRequest(in);
-      case STATE_DELTAS -> readDeltas(in);
-      case STATE_ROWS -> {
-        int count = readListSize(in);
-        List<PeerMessage.StateRow> rows = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-          rows.add(new PeerMessage.StateRow(in.unpackString(), in.unpackLong(), readBytes(in)));
-        }
-        yield new PeerMessage.StateRows(rows);
-      }
+      case STATE_REQUEST -> StateCodec.readRequest(in);
+      case STATE_DELTAS -> StateCodec.readDeltas(in);
+      case STATE_ROWS -> StateCodec.readRows(in);
       case NODES -> {
-        int count = readListSize(in);
+        int count = PackedFields.readListSize(in);
         List<NodeRecord> nodes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
           nodes.add(readNode(in));
@@ -153,20 +143,20 @@
       }
       case STOPPED_TARGET -> new PeerMessage.StoppedTarget(readStatus(in));
       case GRANTS -> {
-        int count = readListSize(in);
+        int count = PackedFields.readListSize(in);
         List<ShareGrant> grants = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-          grants.add(readGrant(in));
+          grants.add(RolloutCodec.readGrant(in));
         }
         yield new PeerMessage.Grants(grants);
       }
       case EVIDENCE -> {
         String domain = in.unpackString();
         long order = in.unpackLong();
-        int count = readListSize(in);
+        int count = PackedFields.readListSize(in);
         List<RouteCounts> counts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-          counts.add(readCounts(in));
+          counts.add(RolloutCodec.readCounts(in));
         }
         yield new PeerMessage.Evidence(domain, order, counts);
       }
@@ -176,49 +166,6 @@
     };
   }
 
-  private static void writeStateRequest(MessageBufferPacker out, PeerMessage.StateRequest request)
-      throws IOException {
-    out.packInt(STATE_REQUEST);
-    if (request.acceptsDeltas()) {
-      out.packInt(request.held().size());
-      for (PeerMessage.HeldRow row : request.held()) {
-        out.packString(row.key()).packLong(row.rowVersion());
-      }
-    }
-  }
-
-  private static PeerMessage.StateRequest readStateRequest(MessageUnpacker in) throws IOException {
-    if (!in.hasNext()) {
-      return new PeerMessage.StateRequest(false, List.of());
-    }
-    int count = readListSize(in);
-    List<PeerMessage.HeldRow> held = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      held.add(new PeerMessage.HeldRow(in.unpackString(), in.unpackLong()));
-    }
-    return new PeerMessage.StateRequest(true, held);
-  }
-
-  private static void writeDeltas(MessageBufferPacker out, List<PeerMessage.RowDelta> rows)
-      throws IOException {
-    out.packInt(STATE_DELTAS).packInt(rows.size());
-    for (PeerMessage.RowDelta row : rows) {
-      out.packString(row.key()).packLong(row.rowVersion()).packLong(row.baseVersion());
-      writeBytes(out, row.delta());
-    }
-  }
-
-  private static PeerMessage.StateDeltas readDeltas(MessageUnpacker in) throws IOException {
-    int count = readListSize(in);
-    List<PeerMessage.RowDelta> rows = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      rows.add(
-          new PeerMessage.RowDelta(
-              in.unpackString(), in.unpackLong(), in.unpackLong(), readBytes(in)));
-    }
-    return new PeerMessage.StateDeltas(rows);
-  }
-
   /** Encodes the registration record of a node for the store. */
   public static byte[] encodeNode(NodeRecord node) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -287,7 +234,7 @@
     out.packString(call.id()).packString(call.uri());
     dictionary.write(out, call.method());
     writeStrings(out, call.headers());
-    writeBytes(out, call.body());
+    PackedFields.writeBytes(out, call.body());
     out.packInt(call.leftMs()).packInt(call.objectiveLeftMs()).packInt(call.rank());
     dictionary.write(out, call.route());
     dictionary.write(out, call.callerService());
@@ -303,7 +250,7 @@
         dictionary.read(in),
         uri,
         readStrings(in),
-        readBytes(in),
+        PackedFields.readBytes(in),
         in.unpackInt(),
         in.unpackInt(),
         in.unpackInt(),
@@ -318,7 +265,7 @@
     out.packInt(response.outcome().ordinal()).packInt(response.reason().ordinal());
     out.packInt(response.retryAfterMs()).packInt(response.status());
     writeStrings(out, response.headers());
-    writeBytes(out, response.body());
+    PackedFields.writeBytes(out, response.body());
     out.packInt(response.serviceUs());
     writeLoad(out, response.load());
   }
@@ -330,57 +277,11 @@
         in.unpackInt(),
         in.unpackInt(),
         readStrings(in),
-        readBytes(in),
+        PackedFields.readBytes(in),
         in.unpackInt(),
         readLoad(in));
   }
 
-  private static void writeGrant(MessageBufferPacker out, ShareGrant grant) throws IOException {
-    out.packString(grant.service()).packString(grant.toVersion()).packLong(grant.orderNumber());
-    out.packLong(grant.number()).packInt(grant.sharePermille());
-    out.packInt(grant.state().ordinal()).packInt(grant.elapsedMs());
-  }
-
-  private static ShareGrant readGrant(MessageUnpacker in) throws IOException {
-    return new ShareGrant(
-        in.unpackString(),
-        in.unpackString(),
-        in.unpackLong(),
-        in.unpackLong(),
-        in.unpackInt(),
-        RolloutState.values()[in.unpackInt()],
-        in.unpackInt());
-  }
-
-  private static void writeCounts(MessageBufferPacker out, RouteCounts counts) throws IOException {
-    out.packString(counts.service()).packString(counts.version()).packString(counts.route());
-    out.packInt(counts.calls()).packInt(counts.errors());
-    int nonEmptyBuckets = 0;
-    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
-      nonEmptyBuckets += counts.latency().count(i) == 0 ? 0 : 1;
-    }
-    out.packInt(nonEmptyBuckets);
-    for (int i = 0; i < LatencySketch.BUCKETS; i++) {
-      if (counts.latency().count(i) != 0) {
-        out.packInt(i).packInt(counts.latency().count(i));
-      }
-    }
-  }
-
-  private static RouteCounts readCounts(MessageUnpacker in) throws IOException {
-    String service = in.unpackString();
-    String version = in.unpackString();
-    String route = in.unpackString();
-    int calls = in.unpackInt();
-    int errors = in.unpackInt();
-    LatencySketch latency = new LatencySketch();
-    int nonEmptyBuckets = readListSize(in);
-    for (int i = 0; i < nonEmptyBuckets; i++) {
-      latency.add(in.unpackInt(), in.unpackInt());
-    }
-    return new RouteCounts(service, version, route, calls, errors, latency);
-  }
-
   private void writeStrings(MessageBufferPacker out, List<String> values) throws IOException {
     out.packInt(values.size());
     for (String value : values) {
@@ -389,35 +290,11 @@
   }
 
   private List<String> readStrings(MessageUnpacker in) throws IOException {
-    int count = readListSize(in);
+    int count = PackedFields.readListSize(in);
     List<String> values = new ArrayList<>(count);
     for (int i = 0; i < count; i++) {
       values.add(dictionary.read(in));
     }
     return values;
   }
-
-  private static void writeBytes(MessageBufferPacker out, byte[] bytes) throws IOException {
-    out.packBinaryHeader(bytes.length).writePayload(bytes);
-  }
-
-  private static byte[] readBytes(MessageUnpacker in) throws IOException {
-    return in.readPayload(in.unpackBinaryHeader());
-  }
-
-  // Reads a field that nodes of earlier releases do not send.
-  private static long readOptionalLong(MessageUnpacker in) throws IOException {
-    return in.hasNext() ? in.unpackLong() : 0;
-  }
-
-  private static int readListSize(MessageUnpacker in) throws IOException {
-    int count = in.unpackInt();
-    if (count < 0 || count > MAX_LIST_ENTRIES) {
-      throw new PeerException(
-          PeerErrorCode.MALFORMED_MESSAGE,
-          "list of " + count + " entries: not between 0 and " + MAX_LIST_ENTRIES,
-          null);
-    }
-    return count;
-  }
 }
