Measure transit anew after a clock step, and do not ask peers in turn

The monotonic clock of a suspended host stands still, so that its peers would have refused all its calls as late for up to ten seconds after it woke: a node that sees its time of day and its monotonic clock part greets its peers again, and a greeting starts a new measurement. A node whose peers announce a version that none of them can send any more, because its row was removed, would have asked them one after the other at once: those with the same version now wait for the timeout.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/BodyBudget.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/BodyBudget.java
@@ -28,9 +28,4 @@
   void release(int bytes) {
     usedBytes -= bytes;
   }
-
-  /** Returns the number of reserved bytes. */
-  int usedBytes() {
-    return usedBytes;
-  }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
@@ -62,8 +62,11 @@
   public void responseReceived(long knownVersion, long nowNanos) {
     String responder = asked;
     asked = null;
-    if (responder != null && announced.getOrDefault(responder, knownVersion) > knownVersion) {
+    long expectedVersion =
+        responder == null ? knownVersion : announced.getOrDefault(responder, knownVersion);
+    if (responder != null && expectedVersion > knownVersion) {
       addFailed(responder, nowNanos);
+      addFailedUpTo(expectedVersion);
     } else {
       failed.clear();
       timeoutNanos = MIN_TIMEOUT_NANOS;
@@ -76,6 +79,16 @@
     timeoutNanos = Math.min(MAX_TIMEOUT_NANOS, timeoutNanos * 2);
   }
 
+  // Peers that announced no more than the responder would lack the same rows.
+  private void addFailedUpTo(long version) {
+    announced.forEach(
+        (peer, peerVersion) -> {
+          if (peerVersion <= version) {
+            failed.add(peer);
+          }
+        });
+  }
+
   /** Returns whether a peer has announced rows that are newer than the given version. */
   public boolean isBehind(long knownVersion) {
     return announced.values().stream().anyMatch(version -> version > knownVersion);
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/StateRequestSchedulerTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/StateRequestSchedulerTest.java
@@ -69,6 +69,16 @@
     assertEquals("a", scheduler.nextPeer(5, 400 * MS));
   }
 
+  /** Guards against requests to all peers in turn for rows that none of them has any more. */
+  @Test
+  void peersWithTheSameVersionAreNotAskedInTurn() {
+    scheduler.announce("a", 9);
+    scheduler.announce("b", 9);
+    assertEquals("a", scheduler.nextPeer(-1, 0));
+    scheduler.responseReceived(5, 100 * MS);
+    assertNull(scheduler.nextPeer(5, 100 * MS));
+  }
+
   /** Guards against requests that multiply the load of links which already delay responses. */
   @Test
   void timeoutGrowsUntilAResponseArrives() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -52,7 +52,7 @@
     // Calls whose cancellation may be among the bytes that have arrived but are not read yet.
     final Map<Long, PeerMessage.Call> received = new HashMap<>();
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
-    final TransitDelay transit = new TransitDelay();
+    TransitDelay transit = new TransitDelay();
     String key = "";
     long loadSentNanos;
   }
@@ -149,6 +149,7 @@
       socket.send(new PeerMessage.Pong(ping.number()));
     } else if (message instanceof PeerMessage.Hello hello) {
       connection.key = hello.node().key();
+      connection.transit = new TransitDelay();
       transitMs(connection, hello.sentMs());
       handshake.onHello(hello).forEach(socket::send);
     } else if (message instanceof PeerMessage.StateRequest request) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -37,6 +37,7 @@
   private static final int SUFFICIENT_NODE_LISTS = 3;
   // Lasts until the check after the next one.
   private static final long AVOID_SILENT_PEER_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
+  private static final int MIN_CLOCK_STEP_MS = 100;
   private static final long MAX_ON_TIME_GAP_NANOS = 2 * CHECK_INTERVAL_MS * 1_000_000L;
 
   private final Vertx vertx;
@@ -54,6 +55,8 @@
   private final ConnectedTargets targets;
   private long timer = -1;
   private long lastCheckNanos;
+  // Time of day minus monotonic time.
+  private long clockOffsetMs;
   private boolean readsStore = true;
   private boolean wantsNodes = true;
   private int receivedNodeLists;
@@ -268,9 +271,20 @@
     links.values().forEach(link -> link.check(onTime));
     inbound.sendLoadToWaitingPeers(CHECK_INTERVAL_MS);
     stateExchange.check();
+    announceClockStep(nowNanos);
     metrics.setConnectedPeers(connectedPeerCount());
   }
 
+  // The monotonic clock of a suspended host stands still, so that peers would take all later calls
+  // for late ones. A greeting makes them measure the time on the way anew.
+  private void announceClockStep(long nowNanos) {
+    long offsetMs = time.now().toEpochMilli() - nowNanos / 1_000_000;
+    if (Math.abs(offsetMs - clockOffsetMs) > MIN_CLOCK_STEP_MS) {
+      links.values().forEach(link -> link.send(hello()));
+    }
+    clockOffsetMs = offsetMs;
+  }
+
   /** Messages of this node to a node that connects to it. */
   private final class LocalHandshake implements InboundPeers.Handshake {
     @Override
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -25,6 +25,7 @@
   private static final int DELAY_MS = 1_500;
   private static final int CALL_LEFT_MS = 400;
   private static final int BLOCKED_MS = 200;
+  private static final int CLOCK_STEP_MS = 3_000;
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private StandInStore store;
@@ -45,6 +46,10 @@
   }
 
   private static PeerMessage.Call call(long number, String id) {
+    return call(number, id, System.nanoTime() / 1_000_000);
+  }
+
+  private static PeerMessage.Call call(long number, String id, long sentMs) {
     MeshCall call =
         new MeshCall(
             id,
@@ -60,7 +65,7 @@
             "i-n1",
             true,
             false);
-    return new PeerMessage.Call(number, call, System.nanoTime() / 1_000_000);
+    return new PeerMessage.Call(number, call, sentMs);
   }
 
   private static Outcome callUntilAnswered(TestPeer peer) throws InterruptedException {
@@ -111,4 +116,23 @@
     assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
     assertEquals(0, machine.target.runs("cancelled"));
   }
+
+  /** Guards against refusing all calls of a host whose clock stood still while it was suspended. */
+  @Test
+  void greetingAfterClockStepMakesLaterCallsCountAsOnTime() throws Exception {
+    TestPeer peer = new TestPeer(vertx);
+    peer.connect(machine.settings.peer().port());
+    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
+    peer.send(new PeerMessage.Hello(self, -1, false, System.nanoTime() / 1_000_000));
+    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+
+    peer.send(call(1_000, "stepped", System.nanoTime() / 1_000_000 - CLOCK_STEP_MS));
+    assertEquals(
+        Outcome.REFUSED, peer.await(PeerMessage.Response.class, WAIT_MS).response().outcome());
+    long steppedMs = System.nanoTime() / 1_000_000 - CLOCK_STEP_MS;
+    peer.send(new PeerMessage.Hello(self, -1, false, steppedMs));
+    peer.send(call(1_001, "after", System.nanoTime() / 1_000_000 - CLOCK_STEP_MS));
+    assertEquals(
+        Outcome.ANSWERED, peer.await(PeerMessage.Response.class, WAIT_MS).response().outcome());
+  }
 }
