Do not greet all peers again 250 ms after the start

The first check compared the clock offset with 0 and took that for a step of the clock, so that each starting node sent a second greeting to all its peers, and those that still wanted the list of nodes got it twice. The offset is measured when the network is created. Found while reading the change; not seen in a run.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -81,6 +81,7 @@
     this.metrics = metrics;
     this.random = random;
     this.time = time;
+    this.clockOffsetMs = clockOffsetMs(time.nanoTime());
     this.client =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
     inbound =
@@ -278,13 +279,17 @@
   // The monotonic clock of a suspended host stands still, so that peers would take all later calls
   // for late ones. A greeting makes them measure the time on the way anew.
   private void announceClockStep(long nowNanos) {
-    long offsetMs = time.now().toEpochMilli() - nowNanos / 1_000_000;
+    long offsetMs = clockOffsetMs(nowNanos);
     if (Math.abs(offsetMs - clockOffsetMs) > MIN_CLOCK_STEP_MS) {
       links.values().forEach(link -> link.send(hello()));
     }
     clockOffsetMs = offsetMs;
   }
 
+  private long clockOffsetMs(long nowNanos) {
+    return time.now().toEpochMilli() - nowNanos / 1_000_000;
+  }
+
   /** Messages of this node to a node that connects to it. */
   private final class LocalHandshake implements InboundPeers.Handshake {
     @Override
