Make the tests of busy nodes independent of the speed of the host

They blocked the event loop for a fixed time and hoped that what they sent arrived within it; on a busy host the calls could come apart, and a call with 0.4 s left could be refused although its node behaves. The loop is now blocked until the test lets it go, and calls are repeated for a bounded time. SidecarProcessTest, StateDistributionTest and InboundPeersTest share the store and its machines as TestDeployment.

--- a/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/HttpListenerTest.java
@@ -23,8 +23,7 @@
 class HttpListenerTest {
 
   private static final int TIMEOUT_S = 10;
-
-  private static final int BLOCKED_MS = 500;
+  private static final int SETTLE_MS = 500;
 
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final BlockingQueue<HttpExchange> requests = new LinkedBlockingQueue<>();
@@ -95,28 +94,32 @@
     }
   }
 
-  private void blockEventLoop() {
+  // Blocks the event loop until the result is completed; returns when it is blocked.
+  private CompletableFuture<Void> blockEventLoop() throws Exception {
+    CompletableFuture<Void> blocked = new CompletableFuture<>();
+    CompletableFuture<Void> released = new CompletableFuture<>();
     vertx.runOnContext(
         on -> {
-          try {
-            Thread.sleep(BLOCKED_MS);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
+          blocked.complete(null);
+          released.orTimeout(TIMEOUT_S, TimeUnit.SECONDS).join();
         });
+    blocked.get(TIMEOUT_S, TimeUnit.SECONDS);
+    return released;
   }
 
   /** Guards against work for clients that left while a busy node had not read their requests. */
   @Test
   void requestOfClientThatLeftBeforeItWasReadIsNotHandled() throws Exception {
+    CompletableFuture<Void> released;
     try (Socket left = connect("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")) {
       respond(takeRequest(), "one");
       readUntil(left, "one");
-      blockEventLoop();
+      released = blockEventLoop();
       left.getOutputStream()
           .write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
     }
-    Thread.sleep(2 * BLOCKED_MS);
+    released.complete(null);
+    Thread.sleep(SETTLE_MS);
     try (Socket stays = connect("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")) {
       assertEquals("/3", takeRequest().uri());
     }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,8 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
-import org.acaciapond.common.time.TimeSource;
-import org.acaciapond.standin.StandInStore;
 import org.acaciapond.standin.StoreFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,30 +40,18 @@
         "idle_timeout_ms":15000}}
       """;
 
-  // The simulated store is not thread-safe and needs a single event loop.
-  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final List<TestMachine> machines = new ArrayList<>();
-  private StandInStore store;
+  private final TestDeployment deployment = new TestDeployment();
 
   @BeforeEach
-  void startStore() {
-    store = new StandInStore(vertx, TestMachine.HOST, 0, TimeSource.system());
-    store.start().await().atMost(WAIT);
-    store.put("op", "config", STATE.formatted(1, ""));
+  void putState() {
+    deployment.store.put("op", "config", STATE.formatted(1, ""));
   }
 
   @AfterEach
   void stop() {
-    machines.forEach(TestMachine::close);
-    vertx.close().toCompletionStage().toCompletableFuture().join();
-  }
-
-  private TestMachine startMachine(String key, String service) {
-    TestMachine machine = new TestMachine(key, service, "i-" + key, store);
-    machines.add(machine);
-    return machine;
+    deployment.close();
   }
 
   private static void awaitCondition(String what, BooleanSupplier condition)
@@ -108,15 +92,15 @@
 
   // The JDK's client sends the address as Host header, so the routes must have it as host.
   private void putStateWithLoopbackHost() {
-    store.put("op", "config", STATE.formatted(2, "").replace("\"a\"", "\"127.0.0.1\""));
+    deployment.store.put("op", "config", STATE.formatted(2, "").replace("\"a\"", "\"127.0.0.1\""));
   }
 
   private TestMachine[] startOrdersMesh(int targets) throws InterruptedException {
     putStateWithLoopbackHost();
     TestMachine[] mesh = new TestMachine[targets + 1];
-    mesh[0] = startMachine("caller", "other");
+    mesh[0] = deployment.startMachine("caller", "other");
     for (int i = 1; i <= targets; i++) {
-      mesh[i] = startMachine("n" + i, "orders");
+      mesh[i] = deployment.startMachine("n" + i, "orders");
       mesh[i].checkIn(false);
     }
     awaitCondition("the mesh serves", () -> status(mesh[0], "/views/1") == 200);
@@ -247,7 +231,7 @@
   @Test
   void nodeRestartedWithoutStoreGetsStateFromPeers() throws Exception {
     TestMachine[] mesh = startOrdersMesh(2);
-    store.setFault(StoreFault.BUSY);
+    deployment.store.setFault(StoreFault.BUSY);
     mesh[2].kill();
     mesh[2].start();
     mesh[2].checkIn(false);
@@ -258,10 +242,11 @@
   void newerStateIsNeverReplacedByOlderOne() throws Exception {
     TestMachine[] mesh = startOrdersMesh(1);
     String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
-    store.put("op", "config", STATE.formatted(5, more).replace("\"a\"", "\"127.0.0.1\""));
+    deployment.store.put(
+        "op", "config", STATE.formatted(5, more).replace("\"a\"", "\"127.0.0.1\""));
     awaitCondition("new route", () -> status(mesh[0], "/new/1") == 200);
-    store.put("op", "config", STATE.formatted(3, "").replace("\"a\"", "\"127.0.0.1\""));
-    store.compact();
+    deployment.store.put("op", "config", STATE.formatted(3, "").replace("\"a\"", "\"127.0.0.1\""));
+    deployment.store.compact();
     for (int i = 0; i < 10; i++) {
       assertEquals(200, status(mesh[0], "/new/1"));
       Thread.sleep(50);
@@ -271,9 +256,10 @@
   @Test
   void stateArrivesAfterStoreDroppedItsHistory() throws Exception {
     TestMachine[] mesh = startOrdersMesh(1);
-    store.compact();
+    deployment.store.compact();
     String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
-    store.put("op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
+    deployment.store.put(
+        "op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
     awaitCondition("new route", () -> status(mesh[0], "/new/1") == 200);
   }
 
@@ -281,9 +267,10 @@
   @Test
   void stateArrivesAfterStoreConnectionsBecameSilent() throws Exception {
     TestMachine[] mesh = startOrdersMesh(2);
-    store.dropWaitingFeeds();
+    deployment.store.dropWaitingFeeds();
     String more = ",[\"r3\",\"127.0.0.1\",\"/new/\",\"idempotent\",8000,4000,2,\"orders\",3]";
-    store.put("op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
+    deployment.store.put(
+        "op", "config", STATE.formatted(9, more).replace("\"a\"", "\"127.0.0.1\""));
     for (TestMachine each : mesh) {
       awaitCondition("new route", () -> status(each, "/new/1") == 200);
     }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.acaciapond.adapter.HttpMeshStore;
 import org.acaciapond.adapter.JsonPlatformCodec;
 import org.acaciapond.common.time.TimeSource;
@@ -90,19 +91,23 @@
               .subscribe()
               .with(done -> started.complete(null), started::completeExceptionally);
         });
-    started.orTimeout(20, java.util.concurrent.TimeUnit.SECONDS).join();
+    started.orTimeout(WAIT.toSeconds(), TimeUnit.SECONDS).join();
   }
 
-  /** Blocks the event loop of the node, as a host without processor time does. */
-  public void blockEventLoop(int durationMs) {
+  /**
+   * Blocks the event loop of the node, as on a host without processor time; returns when it is
+   * blocked.
+   *
+   * @param released completed by the test when the loop may continue
+   */
+  public void blockEventLoop(CompletableFuture<Void> released) {
+    CompletableFuture<Void> blocked = new CompletableFuture<>();
     nodeVertx.runOnContext(
         on -> {
-          try {
-            Thread.sleep(durationMs);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          }
+          blocked.complete(null);
+          released.orTimeout(WAIT.toSeconds(), TimeUnit.SECONDS).join();
         });
+    blocked.orTimeout(WAIT.toSeconds(), TimeUnit.SECONDS).join();
   }
 
   /** Stops the node abruptly, as SIGKILL does. */
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -2,19 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import java.time.Duration;
 import java.util.List;
-import org.acaciapond.common.time.TimeSource;
+import java.util.concurrent.CompletableFuture;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.sidecar.TestDeployment;
 import org.acaciapond.sidecar.TestMachine;
 import org.acaciapond.sidecar.soak.FaultProxy;
-import org.acaciapond.standin.StandInStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,29 +22,44 @@
   private static final int WAIT_MS = 20_000;
   private static final int DELAY_MS = 1_500;
   private static final int CALL_LEFT_MS = 400;
-  private static final int BLOCKED_MS = 200;
   private static final int CLOCK_STEP_MS = 3_000;
+  private static final int START_TRIES = 100;
+  // After some seconds, a node takes the changed clock for granted also without a greeting.
+  private static final int TRIES_WITHIN_WINDOW = 20;
 
-  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-  private StandInStore store;
-  private TestMachine machine;
+  private final TestDeployment deployment = new TestDeployment();
+  private final TestMachine machine = deployment.startMachine("n1", "orders");
 
   @BeforeEach
-  void start() {
-    store = new StandInStore(vertx, TestMachine.HOST, 0, TimeSource.system());
-    store.start().await().atMost(Duration.ofMillis(WAIT_MS));
-    machine = new TestMachine("n1", "orders", "i-n1", store);
+  void checkIn() {
     machine.checkIn(false);
   }
 
   @AfterEach
   void stop() {
-    machine.close();
-    vertx.close().toCompletionStage().toCompletableFuture().join();
+    deployment.close();
+  }
+
+  // Connects a peer and returns it when the node has answered one of its calls.
+  private TestPeer connectPeer(int port) throws InterruptedException {
+    TestPeer peer = new TestPeer(deployment.vertx);
+    peer.connect(port);
+    peer.send(hello(0));
+    assertTrue(isAnswered(peer, START_TRIES, 0));
+    return peer;
+  }
+
+  private static PeerMessage.Hello hello(int clockBehindMs) {
+    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
+    return new PeerMessage.Hello(self, -1, false, nowMs() - clockBehindMs);
+  }
+
+  private static long nowMs() {
+    return System.nanoTime() / 1_000_000;
   }
 
   private static PeerMessage.Call call(long number, String id) {
-    return call(number, id, System.nanoTime() / 1_000_000);
+    return call(number, id, nowMs());
   }
 
   private static PeerMessage.Call call(long number, String id, long sentMs) {
@@ -68,71 +81,61 @@
     return new PeerMessage.Call(number, call, sentMs);
   }
 
-  private static Outcome callUntilAnswered(TestPeer peer) throws InterruptedException {
-    Outcome outcome = Outcome.REFUSED;
-    for (int i = 0; i < 100 && outcome != Outcome.ANSWERED; i++) {
+  private static Outcome await(TestPeer peer) throws InterruptedException {
+    PeerMessage.Response response = peer.await(PeerMessage.Response.class, WAIT_MS);
+    assertNotNull(response);
+    return response.response().outcome();
+  }
+
+  // A call may be refused while the node starts, or if this host is busy.
+  private static boolean isAnswered(TestPeer peer, int tries, int clockBehindMs)
+      throws InterruptedException {
+    for (int i = 0; i < tries; i++) {
       Thread.sleep(100);
-      peer.send(call(i, "early-" + i));
-      PeerMessage.Response response = peer.await(PeerMessage.Response.class, WAIT_MS);
-      assertNotNull(response);
-      outcome = response.response().outcome();
+      peer.send(call(i, "try-" + i, nowMs() - clockBehindMs));
+      if (await(peer) == Outcome.ANSWERED) {
+        return true;
+      }
     }
-    return outcome;
+    return false;
   }
 
   /** Guards against calls that run for callers that left while the call was on its way. */
   @Test
   void callWhoseTimePassedOnTheWayIsNotRun() throws Exception {
-    FaultProxy proxy = new FaultProxy(vertx, machine.settings.peer().port(), DELAY_MS);
-    TestPeer peer = new TestPeer(vertx);
-    peer.connect(proxy.start());
-    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
-    peer.send(new PeerMessage.Hello(self, -1, false, System.nanoTime() / 1_000_000));
-    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+    FaultProxy proxy = new FaultProxy(deployment.vertx, machine.settings.peer().port(), DELAY_MS);
+    TestPeer peer = connectPeer(proxy.start());
 
     proxy.setMode(FaultProxy.Mode.DELAY);
     peer.send(call(1_000, "late"));
-    PeerMessage.Response response = peer.await(PeerMessage.Response.class, WAIT_MS);
 
-    assertNotNull(response);
-    assertEquals(Outcome.REFUSED, response.response().outcome());
+    assertEquals(Outcome.REFUSED, await(peer));
     assertEquals(0, machine.target.runs("late"));
   }
 
   /** Guards against calls that run although their cancellation has already arrived. */
   @Test
   void callThatArrivedWithItsCancellationIsNotRun() throws Exception {
-    TestPeer peer = new TestPeer(vertx);
-    peer.connect(machine.settings.peer().port());
-    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
-    peer.send(new PeerMessage.Hello(self, -1, false, System.nanoTime() / 1_000_000));
-    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+    TestPeer peer = connectPeer(machine.settings.peer().port());
 
-    machine.blockEventLoop(BLOCKED_MS);
+    CompletableFuture<Void> released = new CompletableFuture<>();
+    machine.blockEventLoop(released);
     peer.send(call(1_000, "cancelled"));
     peer.send(new PeerMessage.Cancel(1_000));
-    Thread.sleep(2 * BLOCKED_MS);
+    released.complete(null);
 
-    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
+    assertTrue(isAnswered(peer, START_TRIES, 0));
     assertEquals(0, machine.target.runs("cancelled"));
   }
 
   /** Guards against refusing all calls of a host whose clock stood still while it was suspended. */
   @Test
   void greetingAfterClockStepMakesLaterCallsCountAsOnTime() throws Exception {
-    TestPeer peer = new TestPeer(vertx);
-    peer.connect(machine.settings.peer().port());
-    NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
-    peer.send(new PeerMessage.Hello(self, -1, false, System.nanoTime() / 1_000_000));
-    assertEquals(Outcome.ANSWERED, callUntilAnswered(peer));
-
-    peer.send(call(1_000, "stepped", System.nanoTime() / 1_000_000 - CLOCK_STEP_MS));
-    assertEquals(
-        Outcome.REFUSED, peer.await(PeerMessage.Response.class, WAIT_MS).response().outcome());
-    long steppedMs = System.nanoTime() / 1_000_000 - CLOCK_STEP_MS;
-    peer.send(new PeerMessage.Hello(self, -1, false, steppedMs));
-    peer.send(call(1_001, "after", System.nanoTime() / 1_000_000 - CLOCK_STEP_MS));
-    assertEquals(
-        Outcome.ANSWERED, peer.await(PeerMessage.Response.class, WAIT_MS).response().outcome());
+    TestPeer peer = connectPeer(machine.settings.peer().port());
+
+    peer.send(call(1_000, "stepped", nowMs() - CLOCK_STEP_MS));
+    assertEquals(Outcome.REFUSED, await(peer));
+    peer.send(hello(CLOCK_STEP_MS));
+    assertTrue(isAnswered(peer, TRIES_WITHIN_WINDOW, CLOCK_STEP_MS));
   }
 }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
@@ -3,28 +3,22 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.sidecar.TestDeployment;
 import org.acaciapond.sidecar.TestMachine;
-import org.acaciapond.standin.StandInStore;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests how nodes pass on the desired state to each other. */
@@ -36,22 +30,13 @@
   // of 10 Mbit/s for it.
   private static final int MAX_BYTES_PER_CHANGE_AND_NODE = 4_000;
 
-  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final List<TestMachine> machines = new ArrayList<>();
-  private StandInStore store;
-
-  @BeforeEach
-  void start() {
-    store = new StandInStore(vertx, TestMachine.HOST, 0, TimeSource.system());
-    store.start().await().atMost(Duration.ofMillis(WAIT_MS));
-  }
+  private final TestDeployment deployment = new TestDeployment();
 
   @AfterEach
   void stop() {
-    machines.forEach(TestMachine::close);
-    vertx.close().toCompletionStage().toCompletableFuture().join();
+    deployment.close();
   }
 
   private static String state(int version, String addedPrefix) {
@@ -96,7 +81,7 @@
 
   private double stateBytesSent() throws Exception {
     double bytes = 0;
-    for (TestMachine machine : machines) {
+    for (TestMachine machine : deployment.machines()) {
       String metrics = get(machine.settings.metrics().port(), "/metrics");
       bytes +=
           metrics
@@ -111,11 +96,11 @@
   /** Guards against relays whose links are saturated because each change sends the whole state. */
   @Test
   void changeOfOneRouteCostsFewBytesPerNode() throws Exception {
-    store.put("op", "config", state(1, "/first"));
+    deployment.store.put("op", "config", state(1, "/first"));
     for (int i = 1; i <= 3; i++) {
-      machines.add(new TestMachine("n" + i, "orders", "i-n" + i, store));
+      deployment.startMachine("n" + i, "orders");
     }
-    for (TestMachine machine : machines) {
+    for (TestMachine machine : deployment.machines()) {
       awaitRoute(machine, "/first/x");
     }
 
@@ -123,8 +108,8 @@
     // At first, the third node still waits for a response of the store.
     for (int version = 2; bytes == 0 && version < 50; version++) {
       final double bytesBefore = stateBytesSent();
-      store.put("op", "config", state(version, "/next" + version));
-      for (TestMachine machine : machines) {
+      deployment.store.put("op", "config", state(version, "/next" + version));
+      for (TestMachine machine : deployment.machines()) {
         awaitRoute(machine, "/next" + version + "/x");
       }
       bytes = stateBytesSent() - bytesBefore;
@@ -142,13 +127,12 @@
   /** Guards against a node that stays behind if a version is announced during a request. */
   @Test
   void versionAnnouncedDuringRequestIsRequestedAfterTheResponse() throws Exception {
-    store.put("op", "config", state(1, "/first"));
-    TestPeer peer = new TestPeer(vertx);
+    deployment.store.put("op", "config", state(1, "/first"));
+    TestPeer peer = new TestPeer(deployment.vertx);
     final int port = peer.listen();
-    TestMachine machine = new TestMachine("n1", "orders", "i-n1", store);
-    machines.add(machine);
+    TestMachine machine = deployment.startMachine("n1", "orders");
     NodeRecord self = new NodeRecord("n2", TestMachine.HOST, port, "z", "orders", 1);
-    TestPeer introduction = new TestPeer(vertx);
+    TestPeer introduction = new TestPeer(deployment.vertx);
     introduction.connect(machine.settings.peer().port());
     introduction.send(new PeerMessage.Hello(self, -1, false, 0));
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/TestPeer.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/TestPeer.java
@@ -10,11 +10,11 @@
 import java.util.concurrent.TimeUnit;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.sidecar.TestMachine;
 
 /** Test client or server that speaks the protocol between nodes on one connection. */
 final class TestPeer {
 
-  private static final String HOST = "127.0.0.1";
   private static final int TIMEOUT_S = 20;
 
   private final Vertx vertx;
@@ -29,7 +29,7 @@
   void connect(int port) {
     vertx
         .createNetClient(new NetClientOptions())
-        .connect(port, HOST)
+        .connect(port, TestMachine.HOST)
         .onSuccess(opened -> open((NetSocketInternal) opened))
         .onFailure(socket::completeExceptionally);
   }
@@ -37,7 +37,7 @@
   /** Accepts the connection of a node and returns the port. */
   int listen() {
     return vertx
-        .createNetServer(new NetServerOptions().setHost(HOST))
+        .createNetServer(new NetServerOptions().setHost(TestMachine.HOST))
         .connectHandler(accepted -> open((NetSocketInternal) accepted))
         .listen(0)
         .toCompletionStage()
@@ -56,9 +56,16 @@
             problem -> {}));
   }
 
+  /** Sends a message; returns when it is written. */
   void send(PeerMessage message) {
     PeerSocket opened = socket.orTimeout(TIMEOUT_S, TimeUnit.SECONDS).join();
-    vertx.runOnContext(on -> opened.send(message));
+    CompletableFuture<Void> written = new CompletableFuture<>();
+    vertx.runOnContext(
+        on -> {
+          opened.send(message);
+          written.complete(null);
+        });
+    written.orTimeout(TIMEOUT_S, TimeUnit.SECONDS).join();
   }
 
   /** Returns the next message of a type, or null if none arrives in time. */
