Simplify the exchange of rows and the reading of connections

The scheduler tells whether a node is behind, so the exchange keeps no second mark for it and looks at no peers when an announcement is not newer. Bytes without a request already say that a connection is done, which replaces a flag. The receive allocator is shared by all connections of clients, many of which carry one request. ServerConnection discards bodies instead of copying them, and the rule for who reads the store stands once.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -61,7 +61,6 @@
   private boolean skippingResponse;
   private boolean reusable = true;
   private boolean closed;
-  private boolean closing;
   private boolean requestWritten;
   private long receivedBytes;
   private boolean closeDelimitedReset;
@@ -132,7 +131,7 @@
 
     private boolean accepts(int count) {
       receivedBytes += count;
-      return request != null && !closing && receivedBytes <= maxReceivedBytes();
+      return request != null && receivedBytes <= maxReceivedBytes();
     }
   }
 
@@ -183,7 +182,6 @@
   /** Closes the connection; a request in flight fails. */
   public void close() {
     reusable = false;
-    closing = true;
     if (!closed) {
       socket.close();
     }
@@ -192,6 +190,7 @@
   /** Closes the connection without reporting a result for the request in flight. */
   public void abandon() {
     listener = null;
+    request = null;
     close();
   }
 
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -41,6 +42,12 @@
   private static final int CHUNK_BYTES = 65_536;
   // Leaves time for other connections.
   private static final int MAX_READS_AT_ONCE = 16;
+  // Reads until nothing is left, so that the end of a connection is found together with the
+  // requests before it.
+  private static final RecvByteBufAllocator READ_EVERYTHING =
+      new AdaptiveRecvByteBufAllocator()
+          .respectMaybeMoreData(false)
+          .maxMessagesPerRead(MAX_READS_AT_ONCE);
   // Limits the open requests of one client; reading resumes when enough responses have been sent.
   private static final int MAX_PIPELINED = 64;
 
@@ -74,14 +81,7 @@
 
   void start() {
     Channel channel = socket.channelHandlerContext().channel();
-    // Reads until nothing is left, so that the end of the connection is found together with the
-    // requests before it.
-    channel
-        .config()
-        .setRecvByteBufAllocator(
-            new AdaptiveRecvByteBufAllocator()
-                .respectMaybeMoreData(false)
-                .maxMessagesPerRead(MAX_READS_AT_ONCE));
+    channel.config().setRecvByteBufAllocator(READ_EVERYTHING);
     ChannelPipeline pipeline = channel.pipeline();
     pipeline.addBefore("handler", "first-bytes", new FirstBytes());
     pipeline.addBefore(
@@ -190,7 +190,7 @@
   // Responds to an invalid request after the requests before it, then closes the connection.
   private void reject(int status) {
     closing = true;
-    body.take();
+    body.clear();
     HttpExchange exchange = new HttpExchange(this, "", "", List.of(), false, time.nanoTime());
     reading = null;
     exchanges.add(exchange);
@@ -267,7 +267,7 @@
   private void onClose() {
     closed = true;
     listener.removeConnection(this);
-    body.take();
+    body.clear();
     List<HttpExchange> pending = new ArrayList<>(exchanges);
     exchanges.clear();
     pending.forEach(HttpExchange::onConnectionClosed);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
@@ -113,9 +113,7 @@
    * @throws PeerException if the earlier value is not known or the difference is malformed
    */
   public PeerMessage.StateRow restore(PeerMessage.RowDelta row) {
-    Values values = rows.get(row.key());
-    byte[] base =
-        row.baseVersion() == WHOLE ? EMPTY : values == null ? null : values.find(row.baseVersion());
+    byte[] base = row.baseVersion() == WHOLE ? EMPTY : find(row.key(), row.baseVersion());
     if (base == null) {
       throw new PeerException(
           PeerErrorCode.MALFORMED_MESSAGE,
@@ -125,4 +123,9 @@
     byte[] value = StateDelta.decode(base, row.delta());
     return new PeerMessage.StateRow(row.key(), row.rowVersion(), value);
   }
+
+  private byte @Nullable [] find(String key, long rowVersion) {
+    Values values = rows.get(key);
+    return values == null ? null : values.find(rowVersion);
+  }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
@@ -64,29 +64,24 @@
     asked = null;
     long expectedVersion =
         responder == null ? knownVersion : announced.getOrDefault(responder, knownVersion);
-    if (responder != null && expectedVersion > knownVersion) {
-      addFailed(responder, nowNanos);
-      addFailedUpTo(expectedVersion);
+    if (expectedVersion > knownVersion) {
+      // Peers that announced no more than the responder would lack the same rows.
+      announced.forEach(
+          (peer, version) -> {
+            if (version <= expectedVersion) {
+              failed.add(peer);
+            }
+          });
+      retryFailedAtNanos = nowNanos + timeoutNanos;
+      timeoutNanos = longerTimeoutNanos();
     } else {
       failed.clear();
       timeoutNanos = MIN_TIMEOUT_NANOS;
     }
   }
 
-  private void addFailed(String peer, long nowNanos) {
-    failed.add(peer);
-    retryFailedAtNanos = nowNanos + timeoutNanos;
-    timeoutNanos = Math.min(MAX_TIMEOUT_NANOS, timeoutNanos * 2);
-  }
-
-  // Peers that announced no more than the responder would lack the same rows.
-  private void addFailedUpTo(long version) {
-    announced.forEach(
-        (peer, peerVersion) -> {
-          if (peerVersion <= version) {
-            failed.add(peer);
-          }
-        });
+  private long longerTimeoutNanos() {
+    return Math.min(MAX_TIMEOUT_NANOS, timeoutNanos * 2);
   }
 
   /** Returns whether a peer has announced rows that are newer than the given version. */
@@ -106,8 +101,9 @@
       if (nowNanos - askedNanos < timeoutNanos) {
         return null;
       }
-      addFailed(pending, nowNanos);
+      failed.add(pending);
       retryFailedAtNanos = nowNanos;
+      timeoutNanos = longerTimeoutNanos();
     }
     String next = choosePeer(knownVersion);
     if (next == null && nowNanos - retryFailedAtNanos >= 0) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -193,7 +193,7 @@
   }
 
   private boolean receivesChangesFromStore() {
-    boolean readsChanges = desiredState.current() == null || network.readerRank() <= 1;
+    boolean readsChanges = desiredState.current() == null || maxChangesWait() != null;
     return readsChanges && network.readsStore();
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,7 +51,7 @@
   /** State of one connection, with the calls that run on it. */
   private static final class InboundConnection {
     // Calls whose cancellation may be among the bytes that have arrived but are not read yet.
-    final Map<Long, PeerMessage.Call> received = new HashMap<>();
+    final Set<Long> receivedCalls = new HashSet<>();
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
     TransitDelay transit = new TransitDelay();
     String key = "";
@@ -160,7 +161,7 @@
   }
 
   private static void onCancel(InboundConnection connection, long callNumber) {
-    connection.received.remove(callNumber);
+    connection.receivedCalls.remove(callNumber);
     TargetGateway.GatewayCall running = connection.calls.remove(callNumber);
     if (running != null) {
       running.cancel();
@@ -185,10 +186,10 @@
           "left_ms",
           message.call().leftMs());
     }
-    connection.received.put(message.callNumber(), message);
+    connection.receivedCalls.add(message.callNumber());
     context.runOnContext(
         on -> {
-          if (connection.received.remove(message.callNumber()) != null) {
+          if (connection.receivedCalls.remove(message.callNumber())) {
             submit(socket, connection, message, transitMs);
           }
         });
@@ -199,7 +200,7 @@
     boolean[] completed = {false};
     TargetGateway.GatewayCall call =
         gateway.submit(
-            transitMs == 0 ? message.call() : message.call().afterTransit(transitMs),
+            message.call().afterTransit(transitMs),
             response -> {
               completed[0] = true;
               connection.calls.remove(message.callNumber());
@@ -215,7 +216,7 @@
     InboundConnection connection = connections.remove(socket);
     if (connection != null) {
       // The caller can no longer receive the responses.
-      connection.received.clear();
+      connection.receivedCalls.clear();
       new ArrayList<>(connection.calls.values()).forEach(TargetGateway.GatewayCall::cancel);
     }
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
@@ -23,7 +23,6 @@
   private static final int STORE_READER_DELAY_MS = 100;
   // A starting node reads the whole state from the store, which takes longer than one change.
   private static final int STARTING_NODE_DELAY_MS = 500;
-  private static final long NOT_BEHIND = Long.MIN_VALUE;
 
   private final Vertx vertx;
   private final OperatorState state;
@@ -34,8 +33,8 @@
   private final StateRequestScheduler scheduler;
   private BiConsumer<String, PeerMessage> requestSender = (peer, message) -> {};
   private boolean deltaRejected;
-  // When a peer first announced rows that are newer than those of this node.
-  private long behindSinceNanos = NOT_BEHIND;
+  // When this node fell behind its peers; meaningless while it is not behind.
+  private long behindSinceNanos;
   private int requestCount;
 
   /**
@@ -60,6 +59,11 @@
     this.scheduler = new StateRequestScheduler(random);
   }
 
+  /** Sets the sender of messages to the peer with a key. */
+  public void setRequestSender(BiConsumer<String, PeerMessage> sender) {
+    requestSender = sender;
+  }
+
   @Override
   public long rowVersion() {
     return state.version();
@@ -81,20 +85,25 @@
     metrics.countStateBytesSent(bytes);
   }
 
-  /** Sets the sender of messages to the peer with a key. */
-  public void setRequestSender(BiConsumer<String, PeerMessage> sender) {
-    requestSender = sender;
-  }
-
   @Override
   public void onPeerVersion(String peer, long version) {
+    if (version <= state.version()) {
+      return;
+    }
+    boolean wasBehind = scheduler.isBehind(state.version());
     scheduler.announce(peer, version);
-    boolean wasBehind = behindSinceNanos != NOT_BEHIND;
-    check();
-    boolean newlyBehind = !wasBehind && behindSinceNanos != NOT_BEHIND;
-    if (newlyBehind && receivesChangesFromStore.getAsBoolean()) {
-      vertx.setTimer(STORE_READER_DELAY_MS, id -> check());
+    if (!wasBehind) {
+      startWaiting();
+      if (receivesChangesFromStore.getAsBoolean()) {
+        vertx.setTimer(STORE_READER_DELAY_MS, id -> check());
+      }
     }
+    check();
+  }
+
+  private void startWaiting() {
+    behindSinceNanos = time.nanoTime();
+    requestCount = 0;
   }
 
   @Override
@@ -104,15 +113,9 @@
 
   @Override
   public void check() {
-    if (!scheduler.isBehind(state.version())) {
-      behindSinceNanos = NOT_BEHIND;
-      return;
-    }
     long nowNanos = time.nanoTime();
-    if (behindSinceNanos == NOT_BEHIND) {
-      behindSinceNanos = nowNanos;
-    }
-    if (nowNanos - behindSinceNanos >= storeReaderDelayMs() * 1_000_000L) {
+    if (scheduler.isBehind(state.version())
+        && nowNanos - behindSinceNanos >= storeReaderDelayMs() * 1_000_000L) {
       requestRows(nowNanos);
     }
   }
@@ -168,7 +171,6 @@
   }
 
   private void logReceived(int rows, int bytes) {
-    long behindNanos = behindSinceNanos == NOT_BEHIND ? 0 : time.nanoTime() - behindSinceNanos;
     log.event(
         "state_received",
         "rows",
@@ -178,8 +180,7 @@
         "requests",
         requestCount,
         "behind_ms",
-        behindNanos / 1_000_000);
-    behindSinceNanos = NOT_BEHIND;
-    requestCount = 0;
+        (time.nanoTime() - behindSinceNanos) / 1_000_000);
+    startWaiting();
   }
 }
