--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
@@ -34,7 +34,7 @@
     boolean idempotent,
     boolean retry) {
 
-  /** Returns this call with the times that are left after it was on its way. */
+  /** Returns this call with the times that are left after a transit time. */
   public MeshCall afterTransit(int transitMs) {
     return new MeshCall(
         id,
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/TransitDelay.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/TransitDelay.java
@@ -1,8 +1,8 @@
 package org.acaciapond.mesh.peer;
 
 /**
- * Estimate of how long the messages of one connection were on their way. The clocks of two hosts
- * are not comparable, so the delay is relative to the fastest message of the last seconds.
+ * Estimate of the transit times of the messages on one connection. The clocks of two hosts are not
+ * comparable, so a transit time is relative to the fastest message of the last seconds.
  */
 public final class TransitDelay {
 
@@ -15,7 +15,7 @@
   private long currentMinMs = Long.MAX_VALUE;
 
   /**
-   * Returns how much longer a message was on its way than the fastest one, in milliseconds.
+   * Returns the transit time of a message in milliseconds.
    *
    * @param sentMs monotonic time of the sender at which it sent the message
    * @param receivedNanos monotonic time of this node at which it handles the message
