Decode the kinds of requests once, and retry downloads

Change: RequestKind is decoded in the adapter; a kind that is not known is handled as non-idempotent, counted (acaciapond_routes_of_unknown_kind) and logged once a change (request_kind_unknown).

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/DesiredState.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/DesiredState.java
@@ -19,4 +19,12 @@
     routes = List.copyOf(routes);
     services = Map.copyOf(services);
   }
+
+  /** Returns the names of the routes whose kind of requests is unknown. */
+  public List<String> routesOfUnknownKind() {
+    return routes.stream()
+        .filter(route -> route.kind() == RequestKind.UNKNOWN)
+        .map(Route::name)
+        .toList();
+  }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/Route.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/Route.java
@@ -8,7 +8,7 @@
  * @param name name in the operator's configuration
  * @param host host in the Host header of requests
  * @param pathPrefix prefix that begins and ends with a slash
- * @param idempotent whether a request may run more than once
+ * @param kind kind of the requests
  * @param timeoutMs longest time until a request is answered
  * @param objectiveMs latency objective; 0 if none is set
  * @param priority rank in admission queues; 0 is admitted first
@@ -19,7 +19,7 @@
     String name,
     String host,
     String pathPrefix,
-    boolean idempotent,
+    RequestKind kind,
     int timeoutMs,
     int objectiveMs,
     int priority,
@@ -31,6 +31,11 @@
     services = List.copyOf(services);
   }
 
+  /** Returns whether a request may run more than once. */
+  public boolean idempotent() {
+    return kind.isIdempotent();
+  }
+
   /** Selects a service by weight for a uniform random number from [0, 1). */
   public String selectService(double draw) {
     long total = 0;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/route/RouteTableTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/route/RouteTableTest.java
@@ -13,7 +13,15 @@
 
   private static Route route(String name, String host, String prefix) {
     return new Route(
-        name, host, prefix, true, 500, 200, 1, List.of(new WeightedService("a", 1)), 2);
+        name,
+        host,
+        prefix,
+        RequestKind.IDEMPOTENT,
+        500,
+        200,
+        1,
+        List.of(new WeightedService("a", 1)),
+        2);
   }
 
   private static DesiredState state(long version, Route... routes) {
@@ -68,7 +76,7 @@
             "r",
             "x",
             "/",
-            true,
+            RequestKind.IDEMPOTENT,
             500,
             200,
             1,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -9,6 +9,7 @@
 import org.acaciapond.mesh.platform.OperatorRow;
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.rollout.RolloutOrder;
+import org.acaciapond.mesh.route.DesiredState;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -88,6 +89,7 @@
           updated);
       if (updated) {
         metrics.setStateVersion(state.state().version());
+        reportUnknownKinds(state.state());
       }
     } else if (decoded instanceof OperatorRow.Order order) {
       orderListener.accept(order.order());
@@ -105,6 +107,21 @@
     }
   }
 
+  private void reportUnknownKinds(DesiredState state) {
+    List<String> routes = state.routesOfUnknownKind();
+    metrics.setRoutesOfUnknownKind(routes.size());
+    if (!routes.isEmpty()) {
+      log.event(
+          "request_kind_unknown",
+          "version",
+          state.version(),
+          "routes",
+          routes.size(),
+          "first",
+          routes.get(0));
+    }
+  }
+
   /** Returns the highest version of the current rows, -1 if there are none. */
   public long version() {
     return version;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -29,6 +29,9 @@
   private final Gauge stateVersion;
   private final Gauge peers;
   private final Gauge logLinesDropped;
+  private final Counter unprovenVersionCalls;
+  private final Gauge exposureViolations;
+  private final Gauge routesOfUnknownKind;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -58,6 +61,19 @@
         registerGauge("acaciapond_peers_connected", "Nodes that this node has a connection to.");
     logLinesDropped =
         registerGauge("acaciapond_log_lines_dropped", "Log lines that were not written.");
+    unprovenVersionCalls =
+        Counter.builder()
+            .name("acaciapond_unproven_version_calls_total")
+            .help("Calls sent to versions that were not proven good.")
+            .register(registry);
+    routesOfUnknownKind =
+        registerGauge(
+            "acaciapond_routes_of_unknown_kind",
+            "Routes whose kind of requests is unknown, so that they are not retried.");
+    exposureViolations =
+        registerGauge(
+            "acaciapond_exposure_violations",
+            "Calls to versions that were not proven good, sent beyond the exposure budget.");
   }
 
   private Counter registerCounter(String name, String help, String label) {
@@ -129,6 +145,21 @@
     peers.set(count);
   }
 
+  /** Counts a call to a version that was not proven good. */
+  public void countUnprovenVersionCall() {
+    unprovenVersionCalls.inc();
+  }
+
+  /** Sets the number of calls that exceeded the exposure budget, which should be 0. */
+  public void setExposureViolations(long count) {
+    exposureViolations.set(count);
+  }
+
+  /** Sets the number of routes whose kind of requests is unknown. */
+  public void setRoutesOfUnknownKind(int count) {
+    routesOfUnknownKind.set(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
