Bound what an unproven version gets, and complete only what is proven

Change: each node keeps its calls to an unproven version to a share of its own calls (ExposureBudget); the sum stays within the limit without communication, whoever grants what. The schedule (ExposureSchedule) holds a low share, lets a few targets carry their full load for a while, and raises to all requests so late that even a wrongly accepted version stays within the limit. Nodes send their totals to a new analyzer, so that a hand-over loses no evidence; a node that was paused or is connected to a minority does not decide (DecisionPermit); the time since the order is learned from grants after a restart. Results are attributed to the target that the call was sent to, and a connection between nodes that breaks is not held against a version. The old steps are removed.

Test that failed before: RolloutControllerTest.versionThatIsNotDetectedStaysWithinItsShare (980 of 2,268 and 2,342 of 5,292 calls). The other cases of that test are unchanged and have three more (faults that begin late); the new test of a budget in each node is also played there. RolloutRegistryTest records calls first, as a node without calls has no budget.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/Reason.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/Reason.java
@@ -25,5 +25,7 @@
   /** No target was available. */
   NO_TARGET,
   /** The node has no desired state yet. */
-  NOT_CONFIGURED
+  NOT_CONFIGURED,
+  /** The connection to the target's node broke after the call was sent. */
+  NODE_LOST
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -118,6 +118,7 @@
 
   private PeerMessage read(MessageUnpacker in) throws IOException {
     int type = in.unpackInt();
+      out.packString(evidence.node()).packBoolean(evidence.total());
     return switch (type) {
       case HELLO ->
           new PeerMessage.Hello(
@@ -158,7 +159,9 @@
         for (int i = 0; i < count; i++) {
           counts.add(RolloutCodec.readCounts(in));
         }
-        yield new PeerMessage.Evidence(domain, order, counts);
+        boolean named = in.hasNext();
+        yield new PeerMessage.Evidence(
+            domain, order, counts, named ? in.unpackString() : "", named && in.unpackBoolean());
       }
       default ->
           throw new PeerException(
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -105,7 +105,8 @@
    * @param orderNumber number of the rollout order
    * @param counts calls by version and route
    */
-  record Evidence(String domain, long orderNumber, List<RouteCounts> counts)
+  record Evidence(
+      String domain, long orderNumber, List<RouteCounts> counts, String node, boolean total)
       implements PeerMessage {}
 
   /** Key and version of an operator row that a node holds. */
@@ -115,6 +116,8 @@
    * Operator row as the difference from an earlier version.
    *
    * @param baseVersion earlier version, 0 for the whole row
+   * @param node key of the sender; empty if it is of an earlier release
+   * @param total whether these are all calls since the order instead of those since the last report
    * @param delta difference in the form of {@link StateDelta}
    */
   record RowDelta(String key, long rowVersion, long baseVersion, byte[] delta) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
@@ -37,13 +37,15 @@
    * @param retryRatio retries per request of a service, for all nodes together
    * @param retrySlack retries per window in addition to the ratio
    * @param retryWindowMs length of that window
-   * @param newVersionShare largest share of a service's requests for a version that has not passed
-   *     its analysis
+   * @param newVersionShare largest share of a service's requests for a version that was not proven
+   *     good
+   * @param newVersionSlack requests for such a version in addition to the share
    */
   public record Bounds(
       int graceMs,
       double retryRatio,
       double retrySlack,
       int retryWindowMs,
-      double newVersionShare) {}
+      double newVersionShare,
+      double newVersionSlack) {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
@@ -8,6 +8,9 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.rollout.exposure.ExposureBudget;
+import org.acaciapond.rollout.exposure.ExposureSchedule;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,11 +24,18 @@
   // version gets no further requests.
   private static final long GRANT_VALIDITY_NANOS = 2_000_000_000L;
 
+  private final ExposureSchedule schedule;
   private final Map<String, RolloutOrder> orders = new HashMap<>();
   private final Map<String, ShareGrant> grants = new HashMap<>();
   private final Map<String, Long> grantReceivedNanos = new HashMap<>();
   private final Map<String, String> completed = new HashMap<>();
   private final Set<String> takenBack = new HashSet<>();
+  private final Map<String, ExposureBudget> budgets = new HashMap<>();
+
+  /** Creates a registry without orders, which limits calls to unproven versions by a schedule. */
+  public RolloutRegistry(ExposureSchedule schedule) {
+    this.schedule = schedule;
+  }
 
   /** Applies an order; returns whether it is newer than the known one of the service. */
   public boolean applyOrder(RolloutOrder order) {
@@ -34,9 +44,53 @@
       return false;
     }
     orders.put(order.service(), order);
+    budgets.put(order.service(), schedule.createBudget());
+    return true;
+  }
+
+  /** Sets the number of known nodes, which share the slack of the budget. */
+  public void setKnownNodes(int nodes) {
+    double slackCalls = schedule.limits().slackCallsPerNode(nodes);
+    budgets.values().forEach(budget -> budget.setSlackCalls(slackCalls));
+  }
+
+  /** Counts a call that this node sends to a target; returns whether its version is unproven. */
+  public boolean recordCallSent(TargetStatus target) {
+    RolloutOrder order = orders.get(target.service());
+    if (order == null
+        || !order.toVersion().equals(target.version())
+        || stateOf(order) != RolloutState.RUNNING) {
+      return false;
+    }
+    budgetOf(order).recordExposure();
     return true;
   }
 
+  /** Takes back the count of a call to an unproven version that did not reach its target. */
+  public void recordCallRefused(TargetStatus target) {
+    RolloutOrder order = orders.get(target.service());
+    if (order != null && order.toVersion().equals(target.version())) {
+      budgetOf(order).recordRefusal();
+    }
+  }
+
+  /** Counts a call that reached a target. */
+  public void recordCallAnswered(String service) {
+    ExposureBudget budget = budgets.get(service);
+    if (budget != null) {
+      budget.recordAnswer();
+    }
+  }
+
+  /** Returns how many calls were sent to unproven versions beyond the budget. */
+  public long budgetViolations() {
+    return budgets.values().stream().mapToLong(ExposureBudget::violations).sum();
+  }
+
+  private ExposureBudget budgetOf(RolloutOrder order) {
+    return budgets.computeIfAbsent(order.service(), service -> schedule.createBudget());
+  }
+
   /** Applies a grant; returns whether it changed the share or the state of a rollout. */
   public boolean applyGrant(ShareGrant grant, long nowNanos) {
     if (grant.state() == RolloutState.TAKEN_BACK) {
@@ -159,7 +213,7 @@
     RolloutOrder order = orders.get(service);
     if (order != null && stateOf(order) == RolloutState.RUNNING) {
       int share = sharePermille(order, nowNanos);
-      if (draw * 1000 < share) {
+      if (draw * 1000 < share && budgetOf(order).allowsCall()) {
         Predicate<Candidate> newTargets = newVersionTargets(order.toVersion(), candidates, share);
         if (candidates.stream()
             .anyMatch(each -> each.status().acceptsCalls() && newTargets.test(each))) {
@@ -179,6 +233,16 @@
     return nowNanos - receivedNanos < GRANT_VALIDITY_NANOS ? grant.sharePermille() : 0;
   }
 
+  /** Returns the number of a service's targets of a version that accept calls. */
+  public static int acceptingTargets(String version, List<Candidate> candidates) {
+    int count = 0;
+    for (Candidate candidate : candidates) {
+      TargetStatus status = candidate.status();
+      count += status.acceptsCalls() && status.version().equals(version) ? 1 : 0;
+    }
+    return count;
+  }
+
   // Selects the lowest ids, so that all nodes send the share to the same targets.
   private static Predicate<Candidate> newVersionTargets(
       String version, List<Candidate> candidates, int sharePermille) {
@@ -189,7 +253,7 @@
       }
     }
     ids.sort(null);
-    int count = ids.isEmpty() ? 0 : RolloutSteps.targetCount(sharePermille, ids.size());
+    int count = ids.isEmpty() ? 0 : ExposureSchedule.targetCount(sharePermille, ids.size());
     Set<String> selectedIds = new HashSet<>(ids.subList(0, count));
     return candidate -> selectedIds.contains(candidate.status().id());
   }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -59,7 +59,8 @@
     LatencySketch latency = new LatencySketch();
     latency.add(7, 3);
     assertRoundTrip(
-        new PeerMessage.Evidence("z", 4, List.of(new RouteCounts("s", "v2", "r", 5, 2, latency))));
+        new PeerMessage.Evidence(
+            "z", 4, List.of(new RouteCounts("s", "v2", "r", 5, 2, latency)), "n", true));
   }
 
   @Test
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutControllerTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutControllerTest.java
@@ -10,6 +10,9 @@
 import java.util.Random;
 import org.acaciapond.rollout.evidence.LatencySketch;
 import org.acaciapond.rollout.evidence.RouteCounts;
+import org.acaciapond.rollout.exposure.ExposureBudget;
+import org.acaciapond.rollout.exposure.ExposureLimits;
+import org.acaciapond.rollout.exposure.ExposureSchedule;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -17,18 +20,28 @@
 
   private static final int DURATION_MS = 14_000;
   private static final String[] DOMAINS = {"z1", "z2", "z3"};
+  private static final int NODES = 12;
+  private static final int NEW_TARGETS = 6;
+
+  private static final ExposureSchedule SCHEDULE =
+      new ExposureSchedule(new ExposureLimits(0.1, 50));
 
   /** Fault of the new version: its start, its share of errors, its slowdown and its routes. */
   private record Fault(int afterMs, double errorShare, double slowFactor, boolean oneRoute) {}
 
   /** Outcome of a simulated rollout. */
-  private record Result(RolloutState state, int endMs, int newCalls, int badCalls, int calls) {}
+  private record Result(
+      RolloutState state, int endMs, int newCalls, int badCalls, int calls, String reason) {}
 
   private static Result runRollout(Fault fault, int callsPerSecond, long seed) {
     Random random = new Random(seed);
     RolloutController controller =
-        new RolloutController(
-            new RolloutOrder("s", "v2", DURATION_MS, 1), "v1", new RolloutSteps(0.1));
+        new RolloutController(new RolloutOrder("s", "v2", DURATION_MS, 1), "v1", SCHEDULE);
+    List<ExposureBudget> budgets = new ArrayList<>();
+    for (int node = 0; node < NODES; node++) {
+      budgets.add(SCHEDULE.createBudget());
+      budgets.get(node).setSlackCalls(SCHEDULE.limits().slackCallsPerNode(NODES));
+    }
     int newCalls = 0;
     int badCalls = 0;
     int calls = 0;
@@ -37,9 +50,15 @@
       Map<String, LatencySketch> latency = new HashMap<>();
       int arrivals = callsPerSecond * RolloutController.INTERVAL_MS / 1000;
       for (int i = 0; i < arrivals; i++) {
-        String domain = DOMAINS[random.nextInt(DOMAINS.length)];
+        int node = random.nextInt(NODES);
+        String domain = DOMAINS[node % DOMAINS.length];
+        ExposureBudget budget = budgets.get(node);
         String route = random.nextInt(3) == 0 ? "orders" : "views";
-        boolean toNew = random.nextInt(1000) < controller.sharePermille();
+        boolean toNew = random.nextInt(1000) < controller.sharePermille() && budget.allowsCall();
+        if (toNew) {
+          budget.recordExposure();
+        }
+        budget.recordAnswer();
         boolean faulty =
             toNew && ms >= fault.afterMs && (!fault.oneRoute || route.equals("orders"));
         double latencyUs = 60_000 * Math.exp(0.5 * random.nextGaussian());
@@ -80,12 +99,13 @@
                 });
         controller.addEvidence(domain, ms, reported);
       }
-      controller.decide(ms);
+      controller.decide(ms, NEW_TARGETS);
       if (controller.state() != RolloutState.RUNNING) {
-        return new Result(controller.state(), ms, newCalls, badCalls, calls);
+        return new Result(controller.state(), ms, newCalls, badCalls, calls, controller.reason());
       }
     }
-    return new Result(controller.state(), DURATION_MS, newCalls, badCalls, calls);
+    return new Result(
+        controller.state(), DURATION_MS, newCalls, badCalls, calls, controller.reason());
   }
 
   /**
@@ -99,7 +119,10 @@
     "2500, 0.4, 1, false",
     "3000, 0.5, 1, true",
     "0, 0, 8, false",
-    "2000, 0, 8, true"
+    "2000, 0, 8, true",
+    "9000, 0.5, 1, false",
+    "9000, 0.5, 1, true",
+    "9000, 0, 6, false"
   })
   void badVersionIsTakenBackWithinItsShare(
       int afterMs, double errorShare, double slowFactor, boolean oneRoute) {
@@ -114,6 +137,22 @@
     }
   }
 
+  /**
+   * Guards against a version that the analysis does not find bad and that gets more requests than
+   * an unproven version may get until the deadline.
+   */
+  @ParameterizedTest
+  @CsvSource({"180", "420"})
+  void versionThatIsNotDetectedStaysWithinItsShare(int callsPerSecond) {
+    for (int seed = 0; seed < 40; seed++) {
+      Result result = runRollout(new Fault(0, 0.003, 1.9, false), callsPerSecond, seed);
+      int remaining = callsPerSecond * (DURATION_MS - result.endMs()) / 1000;
+      int newCalls = result.newCalls() + (result.state() == RolloutState.COMPLETED ? remaining : 0);
+      String details = callsPerSecond + "/s seed " + seed + ": " + result;
+      assertTrue(newCalls <= 0.1 * callsPerSecond * DURATION_MS / 1000 + 50, details);
+    }
+  }
+
   /** Guards against a good version that is taken back because its first targets are slow. */
   @ParameterizedTest
   @CsvSource({"180", "420"})
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutRegistryTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutRegistryTest.java
@@ -9,13 +9,16 @@
 import org.acaciapond.mesh.target.Candidate;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
+import org.acaciapond.rollout.exposure.ExposureLimits;
+import org.acaciapond.rollout.exposure.ExposureSchedule;
 import org.junit.jupiter.api.Test;
 
 class RolloutRegistryTest {
 
   private static final long MS = 1_000_000L;
 
-  private final RolloutRegistry registry = new RolloutRegistry();
+  private final RolloutRegistry registry =
+      new RolloutRegistry(new ExposureSchedule(new ExposureLimits(0.1, 50)));
   private final List<Candidate> targets = new ArrayList<>();
 
   RolloutRegistryTest() {
@@ -47,6 +50,12 @@
     return new ShareGrant("s", "v2", order, 1, share, state, 0);
   }
 
+  private void recordAnswers(int calls) {
+    for (int i = 0; i < calls; i++) {
+      registry.recordCallAnswered("s");
+    }
+  }
+
   @Test
   void versionWithoutOrderGetsNoRequests() {
     assertEquals("ab", allowedTargets(0, 0));
@@ -55,6 +64,7 @@
   @Test
   void newVersionGetsItsShareOnFewTargetsWhileTheGrantIsValid() {
     registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 1));
+    recordAnswers(100);
     assertEquals("ab", allowedTargets(0, 0));
     registry.applyGrant(grant(1, 160, RolloutState.RUNNING), 0);
     assertEquals("c", allowedTargets(0.1, MS));
@@ -62,6 +72,45 @@
     assertEquals("ab", allowedTargets(0.1, 2_500 * MS));
   }
 
+  /**
+   * Guards against an analyzer, or two of them, that grants an unproven version more than its
+   * budget.
+   */
+  @Test
+  void unprovenVersionGetsNoMoreThanTheBudgetWhateverIsGranted() {
+    registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 1));
+    registry.applyGrant(grant(1, 1000, RolloutState.RUNNING), 0);
+    registry.applyGrant(grant(1, 900, RolloutState.RUNNING), 0);
+    int toNew = 0;
+    for (int call = 0; call < 400; call++) {
+      TargetStatus target = allowedTargets(0.1, MS).equals("ab") ? target("a") : target("c");
+      toNew += registry.recordCallSent(target) ? 1 : 0;
+      registry.recordCallAnswered("s");
+    }
+    assertTrue(toNew > 0 && toNew <= 0.1 * 400, toNew + " calls");
+    assertEquals(0, registry.budgetViolations());
+  }
+
+  @Test
+  void refusedCallIsNotCountedAsExposure() {
+    registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 1));
+    registry.applyGrant(grant(1, 1000, RolloutState.RUNNING), 0);
+    recordAnswers(20);
+    assertEquals("cd", allowedTargets(0, MS));
+    registry.recordCallSent(target("c"));
+    assertEquals("ab", allowedTargets(0, MS));
+    registry.recordCallRefused(target("c"));
+    assertEquals("cd", allowedTargets(0, MS));
+  }
+
+  private TargetStatus target(String id) {
+    return targets.stream()
+        .map(Candidate::status)
+        .filter(each -> each.id().equals(id))
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void takenBackVersionIgnoresLaterGrants() {
     registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 1));
@@ -79,6 +128,7 @@
     assertTrue(registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 9)));
     registry.applyProgress(new RolloutProgress("s", "v2", RolloutState.TAKEN_BACK), 5);
     assertEquals(1, registry.runningOrders().size());
+    recordAnswers(100);
     registry.applyGrant(grant(9, 900, RolloutState.RUNNING), 0);
     assertEquals("cd", allowedTargets(0.1, MS));
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -15,13 +15,14 @@
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.platform.SocketAddressSetting;
 import org.acaciapond.mesh.retry.RetryBudget;
-import org.acaciapond.mesh.rollout.RolloutSteps;
 import org.acaciapond.mesh.route.ClientLimits;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.RouteTable;
 import org.acaciapond.mesh.store.MeshStore;
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.rollout.exposure.ExposureLimits;
+import org.acaciapond.rollout.exposure.ExposureSchedule;
 import org.acaciapond.sidecar.call.RequestRouter;
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
@@ -115,8 +116,11 @@
             codec,
             self.key(),
             self.domain(),
-            new RolloutSteps(settings.bounds().newVersionShare()),
+            new ExposureSchedule(
+                new ExposureLimits(
+                    settings.bounds().newVersionShare(), settings.bounds().newVersionSlack())),
             log,
+            metrics,
             time);
     OperatorStateExchange stateExchange =
         new OperatorStateExchange(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -170,6 +170,7 @@
   }
 
   private void scheduleHedgedAttempt(int objectiveLeftMs, int leftMs) {
+    router.callObserver.onCallSent(attempt.target);
     if (!route.idempotent() || openAttempts.size() != 1 || ended) {
       return;
     }
@@ -208,7 +209,7 @@
       if (response.outcome() == Outcome.ANSWERED && response.status() < 300) {
         recordLatency(attempt, response.serviceUs());
       }
-      onResponse(attempt.candidate, response);
+      onResponse(attempt, response);
     }
   }
 
@@ -227,12 +228,13 @@
     remaining.forEach(Attempt::cancel);
   }
 
-  private void onResponse(Candidate from, MeshResponse response) {
+  private void onResponse(Attempt attempt, MeshResponse response) {
+    Candidate from = attempt.candidate;
     log.attemptEnded(from, response, times.leftMs());
     if (response.reason() != Reason.NONE) {
       lastReason = response.reason();
     }
-    reportCallResult(from, response);
+    reportCallResult(attempt, response);
     switch (response.outcome()) {
       case ANSWERED -> onTargetResponse(response);
       case REFUSED -> onRefusal(from, response);
@@ -262,11 +264,19 @@
     }
   }
 
-  private void reportCallResult(Candidate from, MeshResponse response) {
-    boolean failed = response.outcome() == Outcome.UNKNOWN || response.status() >= 500;
-    if (response.outcome() == Outcome.ANSWERED || response.outcome() == Outcome.UNKNOWN) {
-      CallResult result = failed ? CallResult.ERROR : CallResult.SUCCESS;
-      router.callObserver.onCallResult(from, route.name(), result, response.serviceUs());
+  private void reportCallResult(Attempt attempt, MeshResponse response) {
+    switch (response.outcome()) {
+      case REFUSED -> router.callObserver.onCallRefused(attempt.target);
+      case NOT_RUN -> reportCallResult(attempt, CallResult.NOT_RUN, 0);
+      case UNKNOWN -> {
+        // A broken connection between nodes tells nothing about the version of the target.
+        boolean nodeLost = response.reason() == Reason.NODE_LOST;
+        reportCallResult(attempt, nodeLost ? CallResult.CANCELLED : CallResult.ERROR, 0);
+      }
+      default -> {
+        CallResult result = response.status() >= 500 ? CallResult.ERROR : CallResult.SUCCESS;
+        reportCallResult(attempt, result, response.serviceUs());
+      }
     }
   }
 
@@ -279,6 +289,11 @@
     router.recordResponseBytes(route.name(), response.body().length);
     if (response.status() >= 500 && response.status() != 504 && route.idempotent()) {
       mayHaveRun = true;
+  private void reportCallResult(Attempt attempt, CallResult result, double serviceUs) {
+    boolean cold = attempt.candidate.isCold(router.time.nanoTime());
+    router.callObserver.onCallResult(attempt.target, route.name(), result, serviceUs, cold);
+  }
+
       failedResponse = response;
       retryOrEnd(true);
       return;
@@ -354,8 +369,7 @@
   private void onDeadline() {
     for (Attempt attempt : openAttempts) {
       // The response would have taken at least this long.
-      router.callObserver.onCallResult(
-          attempt.candidate, route.name(), CallResult.SUCCESS, times.limitMs() * 1_000.0);
+      reportCallResult(attempt, CallResult.SUCCESS, times.limitMs() * 1_000.0);
     }
     if (failedResponse != null && openAttempts.isEmpty()) {
       finishWithoutSuccess();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -172,7 +172,7 @@
   }
 
   private static MeshResponse connectionBroken() {
-    return MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BROKEN, 0, TargetLoad.NONE);
+    return MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.NODE_LOST, 0, TargetLoad.NONE);
   }
 
   void send(PeerMessage message) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
@@ -9,49 +9,57 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.platform.PlatformCodec;
+import org.acaciapond.mesh.rollout.DecisionPermit;
 import org.acaciapond.mesh.rollout.RolloutController;
 import org.acaciapond.mesh.rollout.RolloutOrder;
 import org.acaciapond.mesh.rollout.RolloutProgress;
 import org.acaciapond.mesh.rollout.RolloutRegistry;
 import org.acaciapond.mesh.rollout.RolloutState;
-import org.acaciapond.mesh.rollout.RolloutSteps;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.mesh.store.MeshStore;
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.mesh.target.TargetStatus;
 import org.acaciapond.rollout.evidence.CallResult;
 import org.acaciapond.rollout.evidence.Evidence;
+import org.acaciapond.rollout.evidence.EvidenceTotals;
 import org.acaciapond.rollout.evidence.RouteCounts;
+import org.acaciapond.rollout.exposure.ExposureSchedule;
 import org.acaciapond.sidecar.call.CallObserver;
 import org.acaciapond.sidecar.call.VersionFilter;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.peer.RolloutExchange;
 import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Rollouts at one node. Every node reports the results of its requests to the analyzer, which is
  * the connected node with the lowest key. The analyzer grants shares; its grants expire unless it
- * renews them. A version can be taken back while the store is unavailable.
+ * renews them. Whatever is granted, each node keeps to its own part of the exposure budget. A
+ * version can be taken back while the store is unavailable.
  */
 public final class RolloutService implements RolloutExchange, CallObserver, VersionFilter {
 
   private static final int MAX_EVIDENCE_CELLS = 4_096;
   private static final int GRANT_RENEWAL_INTERVAL_MS = 500;
   private static final int READ_RETRY_DELAY_MS = 500;
+  private static final int INTERVALS_BETWEEN_TOTALS = 10;
 
   private final Vertx vertx;
   private final MeshStore store;
   private final PlatformCodec codec;
   private final String nodeKey;
   private final String domain;
-  private final RolloutSteps steps;
+  private final ExposureSchedule schedule;
   private final EventLog log;
+  private final NodeMetrics metrics;
   private final TimeSource time;
-  private final RolloutRegistry registry = new RolloutRegistry();
-  private final Evidence evidence = new Evidence(MAX_EVIDENCE_CELLS);
+  private final RolloutRegistry registry;
+  private final DecisionPermit permit = new DecisionPermit();
+  private final Evidence intervalEvidence = new Evidence(MAX_EVIDENCE_CELLS);
   private final Map<String, RunningRollout> rollouts = new HashMap<>();
   private @Nullable PeerNetwork network;
   private long timer = -1;
@@ -59,7 +67,13 @@
   /** Running rollout of one service at this node. */
   private final class RunningRollout {
     final RolloutOrder order;
-    final long startNanos;
+    // Calls of this node, and those that other nodes reported to it.
+    final EvidenceTotals localTotals = new EvidenceTotals();
+    final Map<String, EvidenceTotals> reportedTotals = new HashMap<>();
+    long startNanos;
+    String lastAnalyzer = "";
+    int intervalsSinceTotals;
+    boolean deciding;
     @Nullable RolloutController controller;
     @Nullable RolloutProgressWriter progressWriter;
     long grantNumber;
@@ -73,6 +87,12 @@
     int elapsedMs() {
       return (int) ((time.nanoTime() - startNanos) / 1_000_000);
     }
+
+    // A node that started after the order, or whose host was suspended, learns the time from
+    // others.
+    void adoptElapsedTime(int elapsedMs) {
+      startNanos = Math.min(startNanos, time.nanoTime() - elapsedMs * 1_000_000L);
+    }
   }
 
   /** Creates a service without orders. */
@@ -82,16 +102,19 @@
       PlatformCodec codec,
       String nodeKey,
       String domain,
-      RolloutSteps steps,
+      ExposureSchedule schedule,
       EventLog log,
+      NodeMetrics metrics,
       TimeSource time) {
     this.vertx = vertx;
     this.store = store;
     this.codec = codec;
     this.nodeKey = nodeKey;
     this.domain = domain;
-    this.steps = steps;
+    this.schedule = schedule;
+    this.registry = new RolloutRegistry(schedule);
     this.log = log;
+    this.metrics = metrics;
     this.time = time;
   }
 
@@ -139,6 +162,7 @@
         order.number());
     rollouts.put(order.service(), new RunningRollout(order, time.nanoTime()));
     if (timer < 0) {
+      permit.restart();
       timer = vertx.setPeriodic(RolloutController.INTERVAL_MS, id -> processInterval());
     }
   }
@@ -149,19 +173,34 @@
   }
 
   @Override
-  public void onCallResult(Candidate target, String route, CallResult result, double serviceUs) {
-    String service = target.status().service();
+  public void onCallSent(TargetStatus target) {
+    if (registry.recordCallSent(target)) {
+      metrics.countUnprovenVersionCall();
+    }
+  }
+
+  @Override
+  public void onCallRefused(TargetStatus target) {
+    registry.recordCallRefused(target);
+  }
+
+  @Override
+  public void onCallResult(
+      TargetStatus target, String route, CallResult result, double serviceUs, boolean cold) {
+    String service = target.service();
     RunningRollout rollout = rollouts.get(service);
     if (rollout == null) {
       return;
     }
-    String version = target.status().version();
+    if (result.isInformative()) {
+      registry.recordCallAnswered(service);
+    }
+    String version = target.version();
     double analyzedLatencyUs =
         version.equals(rollout.order.toVersion())
             ? RolloutController.toleratedLatencyUs(serviceUs)
             : serviceUs;
-    boolean cold = target.isCold(time.nanoTime());
-    evidence.record(service, version, route, result, cold ? Double.NaN : analyzedLatencyUs);
+    intervalEvidence.record(service, version, route, result, cold ? Double.NaN : analyzedLatencyUs);
   }
 
   @Override
@@ -169,7 +208,7 @@
     List<ShareGrant> grants = new ArrayList<>(registry.endedRollouts());
     for (RunningRollout rollout : rollouts.values()) {
       RolloutController controller = rollout.controller;
-      if (controller != null && controller.state() == RolloutState.RUNNING) {
+      if (controller != null && rollout.deciding && controller.state() == RolloutState.RUNNING) {
         grants.add(createGrant(rollout, controller));
       }
     }
@@ -180,6 +219,10 @@
   public void accept(List<ShareGrant> grants) {
     for (ShareGrant grant : grants) {
       boolean changed = registry.applyGrant(grant, time.nanoTime());
+      RunningRollout rollout = rollouts.get(grant.service());
+      if (rollout != null && rollout.order.number() == grant.orderNumber()) {
+        rollout.adoptElapsedTime(grant.elapsedMs());
+      }
       if (changed) {
         log.event(
             "move_grant",
@@ -204,12 +247,23 @@
   public void accept(PeerMessage.Evidence reported) {
     for (RunningRollout rollout : rollouts.values()) {
       if (rollout.order.number() == reported.orderNumber()) {
-        controllerOf(rollout)
-            .addEvidence(reported.domain(), rollout.elapsedMs(), reported.counts());
+        List<RouteCounts> counts = newCounts(rollout, reported);
+        controllerOf(rollout).addEvidence(reported.domain(), rollout.elapsedMs(), counts);
       }
     }
   }
 
+  private static List<RouteCounts> newCounts(
+      RunningRollout rollout, PeerMessage.Evidence reported) {
+    EvidenceTotals totals =
+        rollout.reportedTotals.computeIfAbsent(reported.node(), key -> new EvidenceTotals());
+    if (reported.total()) {
+      return totals.replaceBy(reported.counts());
+    }
+    totals.add(reported.counts());
+    return reported.counts();
+  }
+
   private RolloutController controllerOf(RunningRollout rollout) {
     RolloutController existing = rollout.controller;
     if (existing != null) {
@@ -221,7 +275,7 @@
             ? ""
             : registry.currentVersion(
                 rollout.order.service(), peers.candidates(rollout.order.service()));
-    RolloutController created = new RolloutController(rollout.order, oldVersion, steps);
+    RolloutController created = new RolloutController(rollout.order, oldVersion, schedule);
     ShareGrant earlierGrant = registry.latestGrant(rollout.order.service());
     if (earlierGrant != null && earlierGrant.orderNumber() == rollout.order.number()) {
       created.resume(earlierGrant.sharePermille());
@@ -236,8 +290,14 @@
     if (peers == null) {
       return;
     }
-    List<RouteCounts> counts = evidence.drain();
+    List<RouteCounts> counts = intervalEvidence.drain();
     String analyzerKey = peers.lowestKey();
+    int connectedNodes = peers.connectedPeerCount() + 1;
+    int knownNodes = peers.knownNodeCount();
+    boolean mayDecide =
+        permit.check(time.nanoTime(), time.now().toEpochMilli(), connectedNodes, knownNodes);
+    registry.setKnownNodes(knownNodes);
+    metrics.setExposureViolations(registry.budgetViolations());
     for (RunningRollout rollout : new ArrayList<>(rollouts.values())) {
       if (registry.stateOf(rollout.order) != RolloutState.RUNNING) {
         finish(rollout);
@@ -245,14 +305,17 @@
       }
       List<RouteCounts> localCounts =
           counts.stream().filter(each -> each.service().equals(rollout.order.service())).toList();
+      rollout.localTotals.add(localCounts);
+      rollout.deciding = mayDecide && analyzerKey.equals(nodeKey);
       if (analyzerKey.equals(nodeKey)) {
-        RolloutController controller = controllerOf(rollout);
-        controller.addEvidence(domain, rollout.elapsedMs(), localCounts);
-        advance(rollout, controller);
-      } else if (!localCounts.isEmpty()) {
-        peers.send(
-            analyzerKey, new PeerMessage.Evidence(domain, rollout.order.number(), localCounts));
+        accept(evidence(rollout, rollout.localTotals.counts(), true));
+        if (mayDecide) {
+          advance(rollout, controllerOf(rollout));
+        }
+      } else {
+        report(rollout, analyzerKey, localCounts, peers);
       }
+      rollout.lastAnalyzer = analyzerKey;
     }
     if (rollouts.isEmpty()) {
       vertx.cancelTimer(timer);
@@ -260,6 +323,26 @@
     }
   }
 
+  private void report(
+      RunningRollout rollout, String analyzerKey, List<RouteCounts> latest, PeerNetwork peers) {
+    rollout.intervalsSinceTotals++;
+    boolean total =
+        !analyzerKey.equals(rollout.lastAnalyzer)
+            || rollout.intervalsSinceTotals >= INTERVALS_BETWEEN_TOTALS;
+    if (total) {
+      rollout.intervalsSinceTotals = 0;
+    }
+    List<RouteCounts> reported = total ? rollout.localTotals.counts() : latest;
+    if (!reported.isEmpty()) {
+      peers.send(analyzerKey, evidence(rollout, reported, total));
+    }
+  }
+
+  private PeerMessage.Evidence evidence(
+      RunningRollout rollout, List<RouteCounts> counts, boolean total) {
+    return new PeerMessage.Evidence(domain, rollout.order.number(), counts, nodeKey, total);
+  }
+
   private void advance(RunningRollout rollout, RolloutController controller) {
     if (rollout.progressWriter == null) {
       rollout.progressWriter =
@@ -272,7 +355,7 @@
               log);
       rollout.progressWriter.setDesiredState(RolloutState.RUNNING);
     }
-    boolean changed = controller.decide(rollout.elapsedMs());
+    boolean changed = controller.decide(rollout.elapsedMs(), acceptingTargets(rollout.order));
     long nowNanos = time.nanoTime();
     boolean renewalDue =
         rollout.grantRenewedNanos == Long.MIN_VALUE
@@ -307,6 +390,13 @@
     }
   }
 
+  private int acceptingTargets(RolloutOrder order) {
+    PeerNetwork peers = network;
+    return peers == null
+        ? 0
+        : RolloutRegistry.acceptingTargets(order.toVersion(), peers.candidates(order.service()));
+  }
+
   private static ShareGrant createGrant(RunningRollout rollout, RolloutController controller) {
     return new ShareGrant(
         rollout.order.service(),
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -56,7 +56,7 @@
             new SocketAddressSetting(HOST, target.port()),
             new SocketAddressSetting(HOST, store.port()),
             256,
-            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1));
+            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50));
     start();
   }
 
