Limit requests whose nested calls wait, and rank nested calls by their request

Change: a nested call precedes new requests of its request's priority only (CallRank), and the running requests of a route are limited while their nested calls are refused or wait long (NestedCallLimit, additive increase and multiplicative decrease). What cannot be in time is refused at once. AdmissionQueueTest and TargetChooserTest name their ranks by CallRank; their assertions are the same.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeSet;
 
 /**
  * Admission queue of one target. At most as many calls run as the target has slots, and a call is
  * queued only if its estimated wait is within {@link WaitLimit}. Queued calls are served by rank,
- * then by their latency objective, then in order of arrival.
+ * then by their latency objective, then in order of arrival. Routes whose nested calls wait for
+ * another service get fewer slots, see {@link NestedCallLimit}.
  *
  * @param <T> type of calls
  */
@@ -18,6 +21,7 @@
   // A call with less than this share of its expected service time left is refused instead of run.
   private static final double MIN_REMAINING_TIME_SHARE = 0.5;
   private static final int MIN_RETRY_AFTER_MS = 20;
+  private static final int MAX_LIMITED_ROUTES = 512;
 
   private static final Comparator<QueuedCall<?>> ORDER =
       Comparator.<QueuedCall<?>>comparingInt(queued -> queued.callClass.rank())
@@ -26,6 +30,8 @@
 
   private final ServiceTimes serviceTimes;
   private final TreeSet<QueuedCall<T>> queue = new TreeSet<>(ORDER);
+  private final Map<String, Integer> runningByRoute = new HashMap<>();
+  private final Map<String, NestedCallLimit> nestedCallLimits = new HashMap<>();
   private int slots;
   private int running;
   private long nextArrivalNumber;
@@ -83,12 +89,16 @@
   /** Runs, queues or refuses a call. */
   public AdmissionResult<T> offer(T call, CallClass callClass, long nowNanos) {
     double serviceUs = serviceTimes.expectedUs(callClass.route());
-    if (running < slots && queue.isEmpty()) {
-      running++;
+    boolean routeLimited = isRouteLimited(callClass.route(), nowNanos);
+    if (running < slots && !routeLimited) {
+      start(callClass.route());
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
     double waitUs = estimatedWaitUs(queue.headSet(queued));
+    if (routeLimited) {
+      waitUs = Math.max(waitUs, routeWaitUs(queued, nowNanos));
+    }
     double limitUs = limitUs(callClass, serviceUs, nowNanos);
     if (slots == 0 || waitUs > limitUs) {
       int retryAfterMs = (int) Math.max(MIN_RETRY_AFTER_MS, (waitUs - limitUs) / 1000);
@@ -100,8 +110,50 @@
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
   }
 
+  /**
+   * Records the end of a nested call that a running call has made.
+   *
+   * @param route route of the running call
+   * @param congested whether the nested call was refused or waited too long for a slot
+   */
+  public void recordNestedCall(String route, boolean congested, long nowNanos) {
+    NestedCallLimit limit = nestedCallLimits.get(route);
+    if (limit == null) {
+      if (nestedCallLimits.size() >= MAX_LIMITED_ROUTES) {
+        return;
+      }
+      limit = new NestedCallLimit();
+      nestedCallLimits.put(route, limit);
+    }
+    limit.record(congested, slots, nowNanos);
+  }
+
+  private int routeLimit(String route, long nowNanos) {
+    NestedCallLimit limit = nestedCallLimits.get(route);
+    return limit == null ? Integer.MAX_VALUE : limit.limit(nowNanos);
+  }
+
+  private boolean isRouteLimited(String route, long nowNanos) {
+    return runningByRoute.getOrDefault(route, 0) >= routeLimit(route, nowNanos);
+  }
+
+  // Estimated time until one of the slots that the route may use is free for the call.
+  private double routeWaitUs(QueuedCall<T> call, long nowNanos) {
+    String route = call.callClass.route();
+    int ahead = 1;
+    for (QueuedCall<T> queued : queue.headSet(call)) {
+      ahead += queued.callClass.route().equals(route) ? 1 : 0;
+    }
+    return ahead * call.serviceUs / Math.max(1, routeLimit(route, nowNanos));
+  }
+
+  private void start(String route) {
+    running++;
+    runningByRoute.merge(route, 1, Integer::sum);
+  }
+
   private void updateUrgentQueued(QueuedCall<T> queued, int change) {
-    urgentQueued += WaitLimit.isUrgent(queued.callClass.rank()) ? change : 0;
+    urgentQueued += CallRank.isUrgent(queued.callClass.rank()) ? change : 0;
   }
 
   // Work until the first slot is free, summed over all slots: with all of them taken, the first one
@@ -147,9 +199,14 @@
     return evicted;
   }
 
-  /** Frees the slot of a call that ended and gives free slots to queued calls. */
-  public Released<T> release(long nowNanos) {
+  /**
+   * Frees the slot of a call that ended and gives free slots to queued calls.
+   *
+   * @param route route of the call that ended
+   */
+  public Released<T> release(String route, long nowNanos) {
     running--;
+    runningByRoute.computeIfPresent(route, (key, count) -> count > 1 ? count - 1 : null);
     return startQueued(nowNanos);
   }
 
@@ -157,16 +214,21 @@
   public Released<T> startQueued(long nowNanos) {
     List<T> run = new ArrayList<>();
     List<T> refused = new ArrayList<>();
-    while (running < slots && !queue.isEmpty()) {
-      QueuedCall<T> first = queue.first();
-      queue.remove(first);
-      updateUrgentQueued(first, -1);
-      double leftUs = (first.callClass.deadlineNanos() - nowNanos) / 1000.0;
-      if (leftUs < first.serviceUs * MIN_REMAINING_TIME_SHARE) {
-        refused.add(first.call);
+    Iterator<QueuedCall<T>> each = queue.iterator();
+    while (running < slots && each.hasNext()) {
+      QueuedCall<T> next = each.next();
+      double leftUs = (next.callClass.deadlineNanos() - nowNanos) / 1000.0;
+      boolean late = leftUs < next.serviceUs * MIN_REMAINING_TIME_SHARE;
+      if (!late && isRouteLimited(next.callClass.route(), nowNanos)) {
+        continue;
+      }
+      each.remove();
+      updateUrgentQueued(next, -1);
+      if (late) {
+        refused.add(next.call);
       } else {
-        running++;
-        run.add(first.call);
+        start(next.callClass.route());
+        run.add(next.call);
       }
     }
     return new Released<>(run, refused);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/WaitLimit.java
@@ -13,30 +13,24 @@
   // Refusing a nested call wastes the work done for its request, so it may wait until shortly
   // before its deadline.
   private static final double NESTED_WAIT_SHARE = 0.8;
-  private static final int MAX_URGENT_RANK = 1;
 
   private WaitLimit() {}
 
-  /** Returns whether calls of a rank are urgent. */
-  public static boolean isUrgent(int rank) {
-    return rank <= MAX_URGENT_RANK;
-  }
-
   /**
    * Returns the longest wait in microseconds.
    *
-   * @param rank order of admission
+   * @param rank order of admission, a {@link CallRank}
    * @param objectiveLeftUs time left until the latency objective
    * @param leftUs time left until the deadline
    * @param serviceUs expected service time in the target
    */
   public static double limitUs(int rank, double objectiveLeftUs, double leftUs, double serviceUs) {
-    if (rank == CallClass.RANK_NESTED) {
+    if (CallRank.isNested(rank)) {
       return Math.max(0, (leftUs - serviceUs) * NESTED_WAIT_SHARE);
     }
     double slackUs = objectiveLeftUs - serviceUs;
     if (slackUs > 0) {
-      return slackUs * (isUrgent(rank) ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
+      return slackUs * (CallRank.isUrgent(rank) ? URGENT_WAIT_SHARE : NORMAL_WAIT_SHARE);
     }
     return Math.max(0, (leftUs - serviceUs) * PAST_OBJECTIVE_WAIT_SHARE);
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.admission.WaitLimit;
 import org.jspecify.annotations.Nullable;
 
@@ -88,7 +89,7 @@
     int slots = Math.max(1, candidate.status().slots());
     double meanServiceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double ahead =
-        WaitLimit.isUrgent(criteria.rank())
+        CallRank.isUrgent(criteria.rank())
             ? candidate.urgentPending(nowNanos)
             : candidate.pending(nowNanos);
     double routeServiceUs = criteria.serviceUs() > 0 ? criteria.serviceUs() : typicalUs;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/AdmissionQueueTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/AdmissionQueueTest.java
@@ -17,6 +17,8 @@
 class AdmissionQueueTest {
 
   private static final long MS = 1_000_000L;
+  private static final int NEW = CallRank.ofRequest(1);
+  private static final int NESTED = CallRank.ofNestedCall(NEW);
 
   private final ServiceTimes times = new ServiceTimes();
   private final AdmissionQueue<String> queue = new AdmissionQueue<>(times);
@@ -28,27 +30,59 @@
   @Test
   void queueWithoutSlotsRefusesEveryCall() {
     assertEquals(
-        AdmissionResult.Decision.REFUSE, queue.offer("a", callClass(1, 500, 1000), 0).decision());
+        AdmissionResult.Decision.REFUSE, queue.offer("a", callClass(NEW, 500, 1000), 0).decision());
   }
 
   @Test
   void nestedCallGoesBeforeNewOnes() {
     times.add("r", 50_000);
     queue.setSlots(1);
-    queue.offer("running", callClass(1, 500, 1000), 0);
-    queue.offer("new", callClass(1, 500, 1000), 0);
-    queue.offer("nested", callClass(CallClass.RANK_NESTED, 500, 1000), 0);
-    assertEquals(List.of("nested"), queue.release(10 * MS).run());
-    assertEquals(List.of("new"), queue.release(20 * MS).run());
+    queue.offer("running", callClass(NEW, 500, 1000), 0);
+    queue.offer("new", callClass(NEW, 500, 1000), 0);
+    queue.offer("nested", callClass(NESTED, 500, 1000), 0);
+    assertEquals(List.of("nested"), queue.release("r", 10 * MS).run());
+    assertEquals(List.of("new"), queue.release("r", 20 * MS).run());
+  }
+
+  /** Guards against requests of a high priority that starve behind nested calls of a low one. */
+  @Test
+  void nestedCallOfLowPriorityRequestGoesAfterRequestsOfHigherPriority() {
+    times.add("r", 50_000);
+    queue.setSlots(1);
+    queue.offer("running", callClass(NEW, 500, 1000), 0);
+    int nestedRank = CallRank.ofNestedCall(CallRank.ofRequest(2));
+    queue.offer("low", callClass(CallRank.ofRequest(2), 500, 1000), 0);
+    queue.offer("nested", callClass(nestedRank, 500, 1000), 0);
+    queue.offer("high", callClass(NEW, 500, 1000), 0);
+    assertEquals(List.of("high"), queue.release("r", 10 * MS).run());
+    assertEquals(List.of("nested"), queue.release("r", 20 * MS).run());
+    assertEquals(List.of("low"), queue.release("r", 30 * MS).run());
+  }
+
+  /** Guards against a call that no free slot is given because its route is limited no longer. */
+  @Test
+  void limitedRouteLeavesSlotsToOtherRoutes() {
+    queue.setSlots(4);
+    for (int i = 0; i < 100; i++) {
+      queue.recordNestedCall("r", true, 100 * i * MS);
+    }
+    long now = 10_000 * MS;
+    CallClass limited = new CallClass("r", NEW, now + 500 * MS, now + 900 * MS);
+    CallClass other = new CallClass("other", NEW, now + 500 * MS, now + 900 * MS);
+    assertEquals(AdmissionResult.Decision.RUN, queue.offer("a", limited, now).decision());
+    assertEquals(AdmissionResult.Decision.WAIT, queue.offer("b", limited, now).decision());
+    assertEquals(AdmissionResult.Decision.RUN, queue.offer("c", other, now).decision());
+    assertEquals(List.of(), queue.release("other", now + MS).run());
+    assertEquals(List.of("b"), queue.release("r", now + MS).run());
   }
 
   @Test
   void callThatWouldMissItsObjectiveIsRefusedAtOnceWithRetryAfter() {
     times.add("r", 100_000);
     queue.setSlots(1);
-    queue.offer("running", callClass(1, 200, 400), 0);
-    queue.offer("waiting", callClass(1, 200, 400), 0);
-    AdmissionResult<String> offer = queue.offer("late", callClass(1, 200, 400), 0);
+    queue.offer("running", callClass(NEW, 200, 400), 0);
+    queue.offer("waiting", callClass(NEW, 200, 400), 0);
+    AdmissionResult<String> offer = queue.offer("late", callClass(NEW, 200, 400), 0);
     assertEquals(AdmissionResult.Decision.REFUSE, offer.decision());
     assertTrue(offer.retryAfterMs() >= 20);
   }
@@ -57,13 +91,14 @@
   void nestedCallWaitsBeyondItsObjective() {
     times.add("r", 100_000);
     queue.setSlots(1);
-    queue.offer("running", callClass(1, 200, 1000), 0);
-    queue.offer("waiting", callClass(CallClass.RANK_NESTED, 120, 1000), 0);
+    queue.offer("running", callClass(NEW, 200, 1000), 0);
+    queue.offer("waiting", callClass(NESTED, 120, 1000), 0);
     assertEquals(
         AdmissionResult.Decision.WAIT,
-        queue.offer("nested", callClass(CallClass.RANK_NESTED, 120, 1000), 0).decision());
+        queue.offer("nested", callClass(NESTED, 120, 1000), 0).decision());
     assertEquals(
-        AdmissionResult.Decision.REFUSE, queue.offer("new", callClass(1, 120, 400), 0).decision());
+        AdmissionResult.Decision.REFUSE,
+        queue.offer("new", callClass(NEW, 120, 400), 0).decision());
   }
 
   /** Guards against a wait estimate in which all running calls end before the first waiting one. */
@@ -73,21 +108,23 @@
     times.add("r", 30_000);
     queue.setSlots(8);
     for (int i = 0; i < 8; i++) {
-      queue.offer("running " + i, new CallClass("long", 2, 400 * MS, 800 * MS), 0);
+      queue.offer(
+          "running " + i, new CallClass("long", CallRank.ofRequest(2), 400 * MS, 800 * MS), 0);
     }
     assertEquals(
-        AdmissionResult.Decision.WAIT, queue.offer("urgent", callClass(1, 60, 250), 0).decision());
+        AdmissionResult.Decision.WAIT,
+        queue.offer("urgent", callClass(NEW, 60, 250), 0).decision());
   }
 
   @Test
   void cancelledCallLeavesTheQueue() {
     times.add("r", 10_000);
     queue.setSlots(1);
-    queue.offer("running", callClass(1, 500, 1000), 0);
-    queue.offer("waiting", callClass(1, 500, 1000), 0);
+    queue.offer("running", callClass(NEW, 500, 1000), 0);
+    queue.offer("waiting", callClass(NEW, 500, 1000), 0);
     assertTrue(queue.cancel("waiting"));
     assertFalse(queue.cancel("waiting"));
-    assertTrue(queue.release(MS).run().isEmpty());
+    assertTrue(queue.release("r", MS).run().isEmpty());
     assertEquals(0, queue.running());
   }
 
@@ -119,7 +156,7 @@
         }
       } else if (!running.isEmpty()) {
         ended.add(running.remove());
-        AdmissionQueue.Released<String> released = testedQueue.release(now);
+        AdmissionQueue.Released<String> released = testedQueue.release("r", now);
         running.addAll(released.run());
         ended.addAll(released.refused());
       }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -4,12 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.List;
+import org.acaciapond.mesh.admission.CallRank;
 import org.junit.jupiter.api.Test;
 
 class TargetChooserTest {
 
+  private static final int URGENT = CallRank.ofRequest(1);
+  private static final int NORMAL = CallRank.ofRequest(2);
+
   private static final SelectionCriteria CRITERIA =
-      new SelectionCriteria(1_000, 0, 1, 400_000, 800_000);
+      new SelectionCriteria(1_000, 0, URGENT, 400_000, 800_000);
 
   private final TargetChooser chooser = new TargetChooser("n1", "z1", () -> 0);
 
@@ -61,7 +65,7 @@
   void urgentRequestIsNotRefusedForLessUrgentOnesThatWait() {
     Candidate local = candidate("n1", "z1", TargetPhase.READY);
     local.updateLoad(new TargetLoad(2, 40, 1, 60_000, 0), 0);
-    SelectionCriteria normal = new SelectionCriteria(1_000, 0, 2, 400_000, 800_000);
+    SelectionCriteria normal = new SelectionCriteria(1_000, 0, NORMAL, 400_000, 800_000);
     assertNull(chooser.choose(List.of(local), each -> true, normal, 0));
     assertEquals(local, chooser.choose(List.of(local), each -> true, CRITERIA, 0));
   }
@@ -79,7 +83,7 @@
     Candidate otherDomain = candidate("n3", "z2", TargetPhase.READY);
     local.updateLoad(new TargetLoad(2, 2, 2, 60_000, 0), 0);
     otherDomain.updateLoad(new TargetLoad(0, 0, 0, 60_000, 0), 0);
-    SelectionCriteria large = new SelectionCriteria(5_000, 60_000, 2, 400_000, 800_000);
+    SelectionCriteria large = new SelectionCriteria(5_000, 60_000, NORMAL, 400_000, 800_000);
     assertEquals(local, chooser.choose(List.of(local, otherDomain), each -> true, large, 0));
   }
 
@@ -90,7 +94,7 @@
     Candidate otherDomain = candidate("n3", "z2", TargetPhase.READY);
     local.updateLoad(new TargetLoad(2, 1, 1, 60_000, 0), 0);
     otherDomain.updateLoad(new TargetLoad(0, 0, 0, 60_000, 0), 0);
-    SelectionCriteria shortDeadline = new SelectionCriteria(100, 60_000, 2, 130_000, 300_000);
+    SelectionCriteria shortDeadline = new SelectionCriteria(100, 60_000, NORMAL, 130_000, 300_000);
     assertEquals(
         otherDomain, chooser.choose(List.of(local, otherDomain), each -> true, shortDeadline, 0));
   }
@@ -104,8 +108,9 @@
       local.recordRelativeServiceTime(1.8);
       sameDomain.recordRelativeServiceTime(0.9);
     }
-    SelectionCriteria shortDeadline = new SelectionCriteria(100, 60_000, 1, 130_000, 300_000);
-    SelectionCriteria longDeadline = new SelectionCriteria(100, 60_000, 1, 2_000_000, 5_000_000);
+    SelectionCriteria shortDeadline = new SelectionCriteria(100, 60_000, URGENT, 130_000, 300_000);
+    SelectionCriteria longDeadline =
+        new SelectionCriteria(100, 60_000, URGENT, 2_000_000, 5_000_000);
     assertEquals(
         sameDomain, chooser.choose(List.of(local, sameDomain), each -> true, shortDeadline, 0));
     assertEquals(local, chooser.choose(List.of(local, sameDomain), each -> true, longDeadline, 0));
@@ -116,8 +121,8 @@
   void shortRequestIsSentWhereALongOneWouldBeLate() {
     Candidate local = candidate("n1", "z1", TargetPhase.READY);
     local.updateLoad(new TargetLoad(2, 1, 1, 90_000, 0), 0);
-    SelectionCriteria shortRequest = new SelectionCriteria(100, 10_000, 1, 160_000, 250_000);
-    SelectionCriteria longRequest = new SelectionCriteria(100, 150_000, 1, 160_000, 250_000);
+    SelectionCriteria shortRequest = new SelectionCriteria(100, 10_000, URGENT, 160_000, 250_000);
+    SelectionCriteria longRequest = new SelectionCriteria(100, 150_000, URGENT, 160_000, 250_000);
     assertEquals(local, chooser.choose(List.of(local), each -> true, shortRequest, 0));
     assertNull(chooser.choose(List.of(local), each -> true, longRequest, 0));
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -11,7 +11,6 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpExchange;
 import org.acaciapond.http.HttpResponse;
-import org.acaciapond.mesh.admission.CallClass;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -42,7 +41,7 @@
   final SidecarSettings settings;
   final CallHeaders headerNames;
   private final PlatformCodec codec;
-  private final TargetGateway gateway;
+  final TargetGateway gateway;
   final PeerNetwork network;
   final TargetChooser chooser;
   final RetryBudget budget;
@@ -152,15 +151,7 @@
     String service = route.selectService(random.getAsDouble());
     RoutedRequest request =
         new RoutedRequest(
-            this,
-            exchange,
-            id,
-            route,
-            service,
-            limitMs,
-            random.getAsDouble(),
-            parent != null ? CallClass.RANK_NESTED : route.priority(),
-            parent != null && parent.retry());
+            this, exchange, id, route, service, limitMs, random.getAsDouble(), parent);
     openRequests.add(request);
     budget.recordRequest(service, time.nanoTime());
     if (parent != null && parent.retry()) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
@@ -24,6 +24,10 @@
     return limitMs;
   }
 
+  int objectiveMs() {
+    return objectiveMs;
+  }
+
   /** Returns the time since the request was received. */
   long elapsedNanos() {
     return time.nanoTime() - receivedNanos;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -9,6 +9,7 @@
 import org.acaciapond.http.HttpExchange;
 import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
@@ -37,6 +38,9 @@
   // Less remaining time does not suffice for another call to a target.
   private static final int MIN_RETRY_TIME_LEFT_MS = 10;
   private static final double MAX_HEDGE_UTILIZATION = 0.7;
+  // Share of the latency objective that a nested call may wait for a slot without being counted as
+  // delayed by congestion.
+  private static final double MAX_NESTED_WAIT_SHARE = 0.4;
 
   private final RequestRouter router;
   private final HttpExchange exchange;
@@ -45,6 +49,8 @@
   private final String service;
   private final RequestTimes times;
   private final double draw;
+  // Call that runs in the local target and made this request; null for requests of clients.
+  private final @Nullable MeshCall parent;
   private final int rank;
   private final boolean partOfRetry;
   private final RequestLog log;
@@ -69,8 +75,7 @@
       String service,
       int limitMs,
       double draw,
-      int rank,
-      boolean partOfRetry) {
+      @Nullable MeshCall parent) {
     this.router = router;
     this.exchange = exchange;
     this.id = id;
@@ -78,9 +83,13 @@
     this.service = service;
     this.times = new RequestTimes(router.time, exchange.receivedNanos(), limitMs, route);
     this.draw = draw;
-    this.rank = rank;
+    this.parent = parent;
+    this.rank =
+        parent == null
+            ? CallRank.ofRequest(route.priority())
+            : CallRank.ofNestedCall(parent.rank());
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
-    this.partOfRetry = partOfRetry;
+    this.partOfRetry = parent != null && parent.retry();
   }
 
   void start() {
@@ -161,6 +170,7 @@
             partOfRetry || sentToTargets + openAttempts.size() > 0);
     Attempt attempt = new Attempt(chosen, nowNanos);
     openAttempts.add(attempt);
+    router.callObserver.onCallSent(attempt.target);
     Runnable canceller =
         router.network.call(chosen, call, response -> onAttemptEnded(attempt, response));
     if (!attempt.done) {
@@ -170,7 +180,6 @@
   }
 
   private void scheduleHedgedAttempt(int objectiveLeftMs, int leftMs) {
-    router.callObserver.onCallSent(attempt.target);
     if (!route.idempotent() || openAttempts.size() != 1 || ended) {
       return;
     }
@@ -280,6 +289,11 @@
     }
   }
 
+  private void reportCallResult(Attempt attempt, CallResult result, double serviceUs) {
+    boolean cold = attempt.candidate.isCold(router.time.nanoTime());
+    router.callObserver.onCallResult(attempt.target, route.name(), result, serviceUs, cold);
+  }
+
   private void avoid(Candidate candidate, int ms) {
     candidate.avoidUntil(router.time.nanoTime() + ms * 1_000_000L);
   }
@@ -289,11 +303,6 @@
     router.recordResponseBytes(route.name(), response.body().length);
     if (response.status() >= 500 && response.status() != 504 && route.idempotent()) {
       mayHaveRun = true;
-  private void reportCallResult(Attempt attempt, CallResult result, double serviceUs) {
-    boolean cold = attempt.candidate.isCold(router.time.nanoTime());
-    router.callObserver.onCallResult(attempt.target, route.name(), result, serviceUs, cold);
-  }
-
       failedResponse = response;
       retryOrEnd(true);
       return;
@@ -302,6 +311,8 @@
   }
 
   private void finishWith(MeshResponse response) {
+    long waitUs = times.elapsedNanos() / 1_000 - response.serviceUs();
+    recordNestedCall(isLongWait(waitUs));
     finish(
         response.status(),
         response.status() < 500 ? "answered" : "target_failed",
@@ -347,11 +358,25 @@
     return allowed;
   }
 
+  private boolean isLongWait(long waitUs) {
+    return waitUs > MAX_NESTED_WAIT_SHARE * times.objectiveMs() * 1_000;
+  }
+
+  private void recordNestedCall(boolean congested) {
+    MeshCall caller = parent;
+    if (caller != null) {
+      router.gateway.recordNestedCall(caller, congested);
+    }
+  }
+
   private void finishWithoutSuccess() {
     MeshResponse failed = failedResponse;
     if (failed != null) {
       finishWith(failed);
-    } else if (mayHaveRun) {
+      return;
+    }
+    recordNestedCall(lastReason == Reason.FULL);
+    if (mayHaveRun) {
       finish(502, endName("failed"), HttpResponse.empty(502, List.of()));
     } else {
       int afterMs = retryAfterMs == Integer.MAX_VALUE ? NO_TARGET_RETRY_AFTER_MS : retryAfterMs;
@@ -375,11 +400,13 @@
       finishWithoutSuccess();
       return;
     }
+    recordNestedCall(true);
     int status = !openAttempts.isEmpty() || mayHaveRun ? 504 : 503;
     finish(status, "deadline", HttpResponse.empty(status, List.of()));
   }
 
   private void onClientClosed() {
+    recordNestedCall(isLongWait(times.elapsedNanos() / 1_000));
     finish(0, "client_left", null);
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -13,7 +13,7 @@
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
-import org.acaciapond.mesh.admission.WaitLimit;
+import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
@@ -148,7 +148,7 @@
 
   /** Sends a call to a target; returns an action that cancels it. */
   public Runnable call(Candidate candidate, MeshCall call, Consumer<MeshResponse> callback) {
-    boolean urgent = WaitLimit.isUrgent(call.rank());
+    boolean urgent = CallRank.isUrgent(call.rank());
     candidate.callStarted(urgent);
     Consumer<MeshResponse> onResponse =
         response -> {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -93,7 +93,7 @@
       if (running) {
         running = false;
         health.recordEnded(call);
-        applyReleased(queue.release(time.nanoTime()));
+        applyReleased(queue.release(call.route(), time.nanoTime()));
       }
       handler.accept(response);
     }
@@ -235,6 +235,16 @@
     return health.findRunning(callId);
   }
 
+  /**
+   * Records the end of a nested call that a call running in the target has made.
+   *
+   * @param parent the running call
+   * @param congested whether the nested call was refused or waited too long for a slot
+   */
+  public void recordNestedCall(MeshCall parent, boolean congested) {
+    queue.recordNestedCall(parent.route(), congested, time.nanoTime());
+  }
+
   /** Returns the number of running and queued calls. */
   public int pendingCallCount() {
     return queue.running() + queue.queued();
