Send long response bodies between nodes in parts

Cause: a body of up to 540 KB was one frame, so that heartbeats, cancellations and short responses on the same connection waited behind it; on a link of 10 Mbit/s for 0.4 s. Change: bodies above 16 KB are sent in parts, in turn, as fast as the connection takes them (ResponseWriter); a cancelled call ends its body; bodies that wait for a slow peer are limited to 4 MB a connection, and parts at the receiver to 8 MB. Nodes of the release before do not announce that they read parts and get whole bodies. Bodies are limited by the heap, and fields and frames of messages between nodes by 16 MB: a length that is not true allocated as many bytes as it announced. Tests: ResponseWriterTest; PeerCodecTest.fieldThatAnnouncesTooManyBytesIsMalformed ends with an OutOfMemoryError on the code before.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshResponse.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshResponse.java
@@ -27,6 +27,11 @@
 
   private static final byte[] EMPTY_BODY = new byte[0];
 
+  /** Returns this response with another body. */
+  public MeshResponse withBody(byte[] other) {
+    return new MeshResponse(outcome, reason, retryAfterMs, status, headers, other, serviceUs, load);
+  }
+
   /** Creates a response for a call that the target did not answer. */
   public static MeshResponse withoutAnswer(
       Outcome outcome, Reason reason, int retryAfterMs, TargetLoad load) {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PackedFields.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PackedFields.java
@@ -8,6 +8,8 @@
 final class PackedFields {
 
   private static final int MAX_LIST_ENTRIES = 100_000;
+  // The unpacker allocates as many bytes as a field announces.
+  private static final int MAX_FIELD_BYTES = 16 << 20;
 
   private PackedFields() {}
 
@@ -16,7 +18,12 @@
   }
 
   static byte[] readBytes(MessageUnpacker in) throws IOException {
-    return in.readPayload(in.unpackBinaryHeader());
+    int length = in.unpackBinaryHeader();
+    if (length > MAX_FIELD_BYTES) {
+      throw new PeerException(
+          PeerErrorCode.MALFORMED_MESSAGE, "field of " + length + " bytes", null);
+    }
+    return in.readPayload(length);
   }
 
   // Reads a field that nodes of earlier releases do not send.
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -40,6 +40,7 @@
   private static final int EVIDENCE = 12;
   private static final int STOPPED_TARGET = 13;
   private static final int STATE_DELTAS = 14;
+  private static final int RESPONSE_PART = 15;
 
   private final StringDictionary dictionary = new StringDictionary();
 
@@ -67,6 +68,7 @@
       out.packInt(HELLO);
       writeNode(out, hello.node());
       out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes()).packLong(hello.sentMs());
+      out.packBoolean(hello.acceptsParts());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
@@ -79,6 +81,9 @@
     } else if (message instanceof PeerMessage.Response response) {
       out.packInt(RESPONSE).packLong(response.callNumber());
       writeResponse(out, response.response());
+    } else if (message instanceof PeerMessage.ResponsePart part) {
+      out.packInt(RESPONSE_PART).packLong(part.callNumber());
+      PackedFields.writeBytes(out, part.bytes());
     } else if (message instanceof PeerMessage.Cancel cancel) {
       out.packInt(CANCEL).packLong(cancel.callNumber());
     } else if (message instanceof PeerMessage.Ping ping) {
@@ -113,21 +118,27 @@
       for (RouteCounts counts : evidence.counts()) {
         RolloutCodec.writeCounts(out, counts);
       }
+      out.packString(evidence.node()).packBoolean(evidence.total());
     }
   }
 
   private PeerMessage read(MessageUnpacker in) throws IOException {
     int type = in.unpackInt();
-      out.packString(evidence.node()).packBoolean(evidence.total());
     return switch (type) {
       case HELLO ->
           new PeerMessage.Hello(
-              readNode(in), in.unpackLong(), in.unpackBoolean(), PackedFields.readOptionalLong(in));
+              readNode(in),
+              in.unpackLong(),
+              in.unpackBoolean(),
+              PackedFields.readOptionalLong(in),
+              in.hasNext() && in.unpackBoolean());
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
       case CALL ->
           new PeerMessage.Call(in.unpackLong(), readCall(in), PackedFields.readOptionalLong(in));
       case RESPONSE -> new PeerMessage.Response(in.unpackLong(), readResponse(in));
+      case RESPONSE_PART ->
+          new PeerMessage.ResponsePart(in.unpackLong(), PackedFields.readBytes(in));
       case CANCEL -> new PeerMessage.Cancel(in.unpackLong());
       case PING -> new PeerMessage.Ping(in.unpackLong());
       case PONG -> new PeerMessage.Pong(in.unpackLong());
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -19,8 +19,11 @@
    * @param wantsNodes whether the sender has not read the table of nodes and requests the nodes
    *     that the receiver knows
    * @param sentMs monotonic time of the sender, 0 if unknown
+   * @param acceptsParts whether the sender can read {@link ResponsePart}; nodes of earlier releases
+   *     cannot
    */
-  record Hello(NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs)
+  record Hello(
+      NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs, boolean acceptsParts)
       implements PeerMessage {}
 
   /**
@@ -51,6 +54,15 @@
    */
   record Response(long callNumber, MeshResponse response) implements PeerMessage {}
 
+  /**
+   * Part of the body of a response, sent before the {@link Response} that contains the rest of the
+   * body. Other messages may come between the parts.
+   *
+   * @param callNumber number of the call on this connection
+   * @param bytes next bytes of the body
+   */
+  record ResponsePart(long callNumber, byte[] bytes) implements PeerMessage {}
+
   /** Cancellation of a call by its caller. */
   record Cancel(long callNumber) implements PeerMessage {}
 
@@ -98,12 +110,13 @@
   record Grants(List<ShareGrant> grants) implements PeerMessage {}
 
   /**
-   * Calls to the versions of a service with a running rollout that the sender has made since its
-   * last report.
+   * Calls of the sender to the versions of a service with a running rollout.
    *
    * @param domain failure domain of the sender
    * @param orderNumber number of the rollout order
    * @param counts calls by version and route
+   * @param node key of the sender; empty if it is of an earlier release
+   * @param total whether these are all calls since the order instead of those since the last report
    */
   record Evidence(
       String domain, long orderNumber, List<RouteCounts> counts, String node, boolean total)
@@ -116,8 +129,6 @@
    * Operator row as the difference from an earlier version.
    *
    * @param baseVersion earlier version, 0 for the whole row
-   * @param node key of the sender; empty if it is of an earlier release
-   * @param total whether these are all calls since the order instead of those since the last report
    * @param delta difference in the form of {@link StateDelta}
    */
   record RowDelta(String key, long rowVersion, long baseVersion, byte[] delta) {}
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -22,6 +24,8 @@
 import org.acaciapond.rollout.evidence.LatencySketch;
 import org.acaciapond.rollout.evidence.RouteCounts;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class PeerCodecTest {
 
@@ -36,7 +40,7 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
@@ -155,6 +159,17 @@
     }
   }
 
+  /** Guards against a node that runs out of memory because of a length that is not true. */
+  @Test
+  void fieldThatAnnouncesTooManyBytesIsMalformed() throws IOException {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      int responsePart = 15;
+      out.packInt(responsePart).packLong(1).packBinaryHeader(Integer.MAX_VALUE);
+      byte[] message = out.toByteArray();
+      assertThrows(PeerException.class, () -> receiver.decode(message));
+    }
+  }
+
   /** Guards against a node that fails or hangs on bytes of an unknown sender. */
   @Property(tries = 2_000, seed = "1")
   void arbitraryBytesThrowOnlyPeerException(@ForAll @Size(max = 60) byte[] bytes) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
@@ -22,6 +22,7 @@
 
   private static final int EXIT_INVALID_SETTINGS = 2;
   private static final int EXIT_START_FAILED = 4;
+  private static final int HEAP_TO_BODY_RATIO = 8;
   private static final int MEMORY_TO_BODY_RATIO = 16;
 
   private SidecarMain() {}
@@ -42,7 +43,11 @@
     EventLog log = new EventLog(settings.nodeKey(), out, time);
     log.start().subscribe().with(done -> {});
     Vertx vertx = Vertx.vertx(vertxOptions());
-    int maxBodyBytes = (settings.memoryMb() << 20) / MEMORY_TO_BODY_RATIO;
+    int maxBodyBytes =
+        (int)
+            Math.min(
+                ((long) settings.memoryMb() << 20) / MEMORY_TO_BODY_RATIO,
+                Runtime.getRuntime().maxMemory() / HEAP_TO_BODY_RATIO);
     JsonPlatformCodec codec = new JsonPlatformCodec(maxBodyBytes);
     vertx.runOnContext(
         on -> {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -23,8 +23,9 @@
 /** Connections that other nodes opened to this one, and the calls to the local target on them. */
 final class InboundPeers implements ManagedService {
 
-  // Calls that were on their way for longer are logged.
+  // Calls with a longer transit time are logged.
   private static final int LATE_CALL_MS = 200;
+  private static final int MAX_PENDING_RESPONSE_BYTES = 4 << 20;
 
   private final SocketServer server;
   private final Context context;
@@ -53,9 +54,15 @@
     // Calls whose cancellation may be among the bytes that have arrived but are not read yet.
     final Set<Long> receivedCalls = new HashSet<>();
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
+    final ResponseWriter responses;
     TransitDelay transit = new TransitDelay();
     String key = "";
     long loadSentNanos;
+
+    InboundConnection(PeerSocket socket) {
+      responses = new ResponseWriter(socket::send, socket::isWritable, MAX_PENDING_RESPONSE_BYTES);
+      socket.onWritable(responses::writePending);
+    }
   }
 
   InboundPeers(
@@ -128,7 +135,7 @@
             this::onMessage,
             this::onClosed,
             problem -> log.event("peer_problem", "error", problem));
-    connections.put(peer, new InboundConnection());
+    connections.put(peer, new InboundConnection(peer));
     peer.send(handshake.hello());
     peer.send(handshake.status());
     List<ShareGrant> grants = rolloutExchange.grants();
@@ -143,13 +150,14 @@
       return;
     }
     if (message instanceof PeerMessage.Call call) {
-      onCall(socket, connection, call);
+      onCall(connection, call);
     } else if (message instanceof PeerMessage.Cancel cancel) {
       onCancel(connection, cancel.callNumber());
     } else if (message instanceof PeerMessage.Ping ping) {
       socket.send(new PeerMessage.Pong(ping.number()));
     } else if (message instanceof PeerMessage.Hello hello) {
       connection.key = hello.node().key();
+      connection.responses.setAcceptsParts(hello.acceptsParts());
       connection.transit = new TransitDelay();
       transitMs(connection, hello.sentMs());
       handshake.onHello(hello).forEach(socket::send);
@@ -162,6 +170,7 @@
 
   private static void onCancel(InboundConnection connection, long callNumber) {
     connection.receivedCalls.remove(callNumber);
+    connection.responses.cancel(callNumber);
     TargetGateway.GatewayCall running = connection.calls.remove(callNumber);
     if (running != null) {
       running.cancel();
@@ -172,7 +181,7 @@
     return sentMs == 0 ? 0 : connection.transit.measureMs(sentMs, time.nanoTime());
   }
 
-  private void onCall(PeerSocket socket, InboundConnection connection, PeerMessage.Call message) {
+  private void onCall(InboundConnection connection, PeerMessage.Call message) {
     int transitMs = transitMs(connection, message.sentMs());
     if (transitMs > LATE_CALL_MS) {
       log.request(
@@ -190,13 +199,12 @@
     context.runOnContext(
         on -> {
           if (connection.receivedCalls.remove(message.callNumber())) {
-            submit(socket, connection, message, transitMs);
+            submit(connection, message, transitMs);
           }
         });
   }
 
-  private void submit(
-      PeerSocket socket, InboundConnection connection, PeerMessage.Call message, int transitMs) {
+  private void submit(InboundConnection connection, PeerMessage.Call message, int transitMs) {
     boolean[] completed = {false};
     TargetGateway.GatewayCall call =
         gateway.submit(
@@ -205,7 +213,7 @@
               completed[0] = true;
               connection.calls.remove(message.callNumber());
               connection.loadSentNanos = time.nanoTime();
-              socket.send(new PeerMessage.Response(message.callNumber(), response));
+              connection.responses.write(message.callNumber(), response);
             });
     if (!completed[0]) {
       connection.calls.put(message.callNumber(), call);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -25,6 +25,7 @@
 
   private static final int MIN_BACKOFF_MS = 50;
   private static final int MAX_BACKOFF_MS = 1_000;
+  private static final int MAX_INCOMPLETE_RESPONSE_BYTES = 8 << 20;
 
   private final Vertx vertx;
   private final NetClient client;
@@ -33,6 +34,7 @@
   private final Listener listener;
   private final LivenessCheck liveness;
   private final Map<Long, Consumer<MeshResponse>> calls = new HashMap<>();
+  private final ResponseParts responseParts = new ResponseParts(MAX_INCOMPLETE_RESPONSE_BYTES);
   private NodeRecord node;
   private @Nullable PeerSocket socket;
   private boolean readsStore = true;
@@ -151,21 +153,33 @@
 
   private void onMessage(PeerMessage message) {
     if (message instanceof PeerMessage.Response response) {
+      MeshResponse complete = responseParts.complete(response);
       Consumer<MeshResponse> callback = calls.remove(response.callNumber());
       if (callback != null) {
-        callback.accept(response.response());
+        callback.accept(complete);
       }
+    } else if (message instanceof PeerMessage.ResponsePart part) {
+      onResponsePart(part);
     } else if (!(message instanceof PeerMessage.Pong)) {
       listener.onMessage(this, message);
     }
   }
 
+  private void onResponsePart(PeerMessage.ResponsePart part) {
+    PeerSocket current = socket;
+    // Parts of cancelled calls may still be on their way.
+    if (calls.containsKey(part.callNumber()) && !responseParts.add(part) && current != null) {
+      current.close();
+    }
+  }
+
   private void onClose(PeerSocket closed) {
     if (socket == closed) {
       socket = null;
       listener.onDisconnected(this, "closed");
       List<Consumer<MeshResponse>> pending = new ArrayList<>(calls.values());
       calls.clear();
+      responseParts.clear();
       pending.forEach(callback -> callback.accept(connectionBroken()));
       reconnectLater();
     }
@@ -198,6 +212,7 @@
     current.send(new PeerMessage.Call(callNumber, call, time.nanoTime() / 1_000_000));
     return () -> {
       if (calls.remove(callNumber) != null) {
+        responseParts.remove(callNumber);
         current.send(new PeerMessage.Cancel(callNumber));
       }
     };
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -262,7 +262,7 @@
 
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(
-        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000);
+        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true);
   }
 
   private void check() {
@@ -276,8 +276,8 @@
     metrics.setConnectedPeers(connectedPeerCount());
   }
 
-  // The monotonic clock of a suspended host stands still, so that peers would take all later calls
-  // for late ones. A greeting makes them measure the time on the way anew.
+  // The monotonic clock of a suspended host stands still, so that all its later calls look late to
+  // its peers. Another hello makes them measure the transit time anew.
   private void announceClockStep(long nowNanos) {
     long offsetMs = clockOffsetMs(nowNanos);
     if (Math.abs(offsetMs - clockOffsetMs) > MIN_CLOCK_STEP_MS) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -15,7 +15,9 @@
 /** Connection to another node. A frame is a four-byte length followed by a MessagePack message. */
 final class PeerSocket {
 
-  private static final int MAX_FRAME_BYTES = 64 << 20;
+  private static final int MAX_FRAME_BYTES = 17 << 20;
+  // Bytes that may wait in this process before long bodies pause. Short messages wait behind them.
+  private static final int WRITE_QUEUE_BYTES = 32 << 10;
   private static final int LENGTH_BYTES = 4;
 
   private final NetSocketInternal socket;
@@ -56,6 +58,7 @@
             ReferenceCountUtil.release(message);
           }
         });
+    socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
     socket.exceptionHandler(error -> onProblem.accept(String.valueOf(error.getMessage())));
     socket.closeHandler(
         done -> {
@@ -75,6 +78,16 @@
     return LENGTH_BYTES + bytes.length;
   }
 
+  /** Returns whether the connection takes more bytes without queueing many in this process. */
+  boolean isWritable() {
+    return !closed && !socket.writeQueueFull();
+  }
+
+  /** Sets the action to run when the connection is writable again. */
+  void onWritable(Runnable action) {
+    socket.drainHandler(drained -> action.run());
+  }
+
   /** Returns the monotonic time at which the last message was received. */
   long lastReceivedNanos() {
     return lastReceivedNanos;
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -24,7 +24,7 @@
   private static final int CALL_LEFT_MS = 400;
   private static final int CLOCK_STEP_MS = 3_000;
   private static final int START_TRIES = 100;
-  // After some seconds, a node takes the changed clock for granted also without a greeting.
+  // After some seconds, a node accepts the changed clock also without a hello.
   private static final int TRIES_WITHIN_WINDOW = 20;
 
   private final TestDeployment deployment = new TestDeployment();
@@ -51,7 +51,7 @@
 
   private static PeerMessage.Hello hello(int clockBehindMs) {
     NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
-    return new PeerMessage.Hello(self, -1, false, nowMs() - clockBehindMs);
+    return new PeerMessage.Hello(self, -1, false, nowMs() - clockBehindMs, false);
   }
 
   private static long nowMs() {
@@ -130,7 +130,7 @@
 
   /** Guards against refusing all calls of a host whose clock stood still while it was suspended. */
   @Test
-  void greetingAfterClockStepMakesLaterCallsCountAsOnTime() throws Exception {
+  void helloAfterClockStepMakesLaterCallsCountAsOnTime() throws Exception {
     TestPeer peer = connectPeer(machine.settings.peer().port());
 
     peer.send(call(1_000, "stepped", nowMs() - CLOCK_STEP_MS));
