Let a planned stop wait for responses that clients read slowly

Cause: a request counted as ended when its response was handed to the connection, so that a stopping node exited with long responses half written (reported by operators of similar systems as requests cut off during a planned stop). Change: the stop waits for unwritten responses to clients and for pending bodies to other nodes, within the time that requests get. A single body above the limit of pending bytes is sent when nothing else waits. Tests: stoppingNodeWaitsForSlowReaders fails without the change (the node had stopped after 3.2 s with a client in the middle of 8 MB).

--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -44,6 +44,7 @@
   private final Set<ServerConnection> connections = new LinkedHashSet<>();
   private long timer = -1;
   private boolean closeAfterResponses;
+  private int unwrittenResponses;
 
   /** Creates a listener. */
   public HttpListener(
@@ -93,6 +94,21 @@
     closeAfterResponses = true;
   }
 
+  /**
+   * Returns the number of responses that are not written completely, as their clients read slowly.
+   */
+  public int unwrittenResponses() {
+    return unwrittenResponses;
+  }
+
+  void responseStarted() {
+    unwrittenResponses++;
+  }
+
+  void responseWritten() {
+    unwrittenResponses--;
+  }
+
   boolean closeAfterResponses() {
     return closeAfterResponses;
   }
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -237,10 +237,16 @@
     if (last) {
       message.headers().set(HttpHeaderNames.CONNECTION, "close");
     }
-    var written = socket.writeMessage(message);
-    if (last) {
-      written.onComplete(done -> socket.close());
-    }
+    listener.responseStarted();
+    socket
+        .writeMessage(message)
+        .onComplete(
+            done -> {
+              listener.responseWritten();
+              if (last) {
+                socket.close();
+              }
+            });
   }
 
   /** Closes the connection if a header is not complete in time or the client is idle too long. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -300,7 +300,7 @@
                     if (nowNanos - startNanos > UNREADY_NOTICE_MS * 1_000_000L) {
                       router.refuseNewRequests();
                     }
-                    if (router.openRequestCount() > 0 || gateway.pendingCallCount() > 0) {
+                    if (hasOpenWork()) {
                       quietSinceNanos[0] = nowNanos;
                     }
                     long elapsedMs = (nowNanos - startNanos) / 1_000_000;
@@ -316,6 +316,13 @@
             });
   }
 
+  private boolean hasOpenWork() {
+    return router.openRequestCount() > 0
+        || gateway.pendingCallCount() > 0
+        || outbound.unwrittenResponses() > 0
+        || network.pendingResponseBytes() > 0;
+  }
+
   /** Logs rejected requests and counts failed connections. */
   private final class ListenerEvents implements HttpListener.Events {
     @Override
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -99,6 +99,11 @@
     connections.keySet().forEach(socket -> socket.send(message));
   }
 
+  /** Returns the bytes of response bodies that are not sent completely. */
+  int pendingResponseBytes() {
+    return connections.values().stream().mapToInt(each -> each.responses.pendingBytes()).sum();
+  }
+
   /** Sends a message to the nodes of some keys. */
   void publish(PeerMessage message, Set<String> keys) {
     connections.forEach(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -175,6 +175,11 @@
     };
   }
 
+  /** Returns the bytes of response bodies that are not sent to other nodes completely. */
+  public int pendingResponseBytes() {
+    return inbound.pendingResponseBytes();
+  }
+
   /** Returns the number of nodes that this one is connected to. */
   public int connectedPeerCount() {
     return (int) links.values().stream().filter(PeerLink::isConnected).count();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ResponseWriter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ResponseWriter.java
@@ -54,7 +54,7 @@
    *
    * @param sender sends a message on the connection
    * @param writable whether the connection takes more bytes now
-   * @param maxPendingBytes bytes of bodies that may wait for a slow connection
+   * @param maxPendingBytes bytes of several bodies that may wait for a slow connection
    */
   ResponseWriter(Consumer<PeerMessage> sender, BooleanSupplier writable, int maxPendingBytes) {
     this.sender = sender;
@@ -72,7 +72,7 @@
     int bytes = response.body().length;
     if (!acceptsParts || bytes <= PART_BYTES) {
       sender.accept(new PeerMessage.Response(callNumber, response));
-    } else if (bytes > maxPendingBytes - pendingBytes) {
+    } else if (!pending.isEmpty() && bytes > maxPendingBytes - pendingBytes) {
       sender.accept(
           new PeerMessage.Response(
               callNumber,
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.URI;
@@ -24,6 +25,10 @@
 class SidecarProcessTest {
 
   private static final Duration WAIT = Duration.ofSeconds(20);
+  private static final int LONG_BODY_BYTES = 8 << 20;
+  private static final int RECEIVE_BUFFER_BYTES = 8_192;
+  // After this time, a stopping node without requests has stopped.
+  private static final int AFTER_UNREADY_MS = 3_200;
   private static final AtomicLong NEXT_ID = new AtomicLong();
   // All nodes of a test share the loopback address, so the Host header selects the service and not
   // the client.
@@ -95,6 +100,14 @@
     deployment.store.put("op", "config", STATE.formatted(2, "").replace("\"a\"", "\"127.0.0.1\""));
   }
 
+  // Targets check in again and again, as a check-in is lost if it arrives before its node listens.
+  private int checkInAndGet(TestMachine[] mesh, TestMachine from) {
+    for (int i = 1; i < mesh.length; i++) {
+      mesh[i].checkIn(false);
+    }
+    return status(from, "/views/1");
+  }
+
   private TestMachine[] startOrdersMesh(int targets) throws InterruptedException {
     putStateWithLoopbackHost();
     TestMachine[] mesh = new TestMachine[targets + 1];
@@ -103,10 +116,10 @@
       mesh[i] = deployment.startMachine("n" + i, "orders");
       mesh[i].checkIn(false);
     }
-    awaitCondition("the mesh serves", () -> status(mesh[0], "/views/1") == 200);
+    awaitCondition("the mesh serves", () -> checkInAndGet(mesh, mesh[0]) == 200);
     for (int i = 1; i <= targets; i++) {
       TestMachine each = mesh[i];
-      awaitCondition("each node serves", () -> status(each, "/views/1") == 200);
+      awaitCondition("each node serves", () -> checkInAndGet(mesh, each) == 200);
     }
     return mesh;
   }
@@ -289,6 +302,32 @@
     stopped.get(WAIT.toSeconds(), TimeUnit.SECONDS);
   }
 
+  /** Guards against a planned stop that cuts off a response because its client reads slowly. */
+  @Test
+  void stoppingNodeWaitsForSlowReaders() throws Exception {
+    TestMachine[] mesh = startOrdersMesh(1);
+    String body = "x".repeat(LONG_BODY_BYTES);
+    mesh[1].target.setResponseFunction(
+        exchange -> mesh[1].target.signedResponse(exchange.header("X-Attempt-Id"), body));
+    try (java.net.Socket socket = new java.net.Socket()) {
+      socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+      socket.connect(
+          new java.net.InetSocketAddress("127.0.0.1", mesh[0].settings.outbound().port()));
+      socket
+          .getOutputStream()
+          .write(
+              "GET /views/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: slow\r\n\r\n"
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      assertEquals('H', socket.getInputStream().read());
+      CompletableFuture<Void> stopped = mesh[0].stop();
+      Thread.sleep(AFTER_UNREADY_MS);
+      assertFalse(stopped.isDone());
+      int received = socket.getInputStream().readNBytes(LONG_BODY_BYTES).length;
+      assertEquals(LONG_BODY_BYTES, received);
+      stopped.get(WAIT.toSeconds(), TimeUnit.SECONDS);
+    }
+  }
+
   @Test
   void closedClientConnectionFreesSlot() throws Exception {
     TestMachine[] mesh = startOrdersMesh(1);
