Retry at one level only, and keep nested repeats within the budget

Change: the gateway marks a failure after a failed nested call (NESTED_FAILED); it is returned and not retried, counts neither against the target nor in the comparison of versions. The budget keeps a little more in reserve, as nested calls multiply the slack of the caller's service too.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshResponse.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshResponse.java
@@ -7,7 +7,7 @@
  * Response of the node of a target to a call.
  *
  * @param outcome how the call ended
- * @param reason why the target did not answer
+ * @param reason why the target did not answer, or why its answer is a failure
  * @param retryAfterMs time after which a slot is expected to be free, for a refused call
  * @param status HTTP status of the target's response, 0 if there is none
  * @param headers alternating names and values
@@ -27,6 +27,11 @@
 
   private static final byte[] EMPTY_BODY = new byte[0];
 
+  /** Returns this response with another reason. */
+  public MeshResponse withReason(Reason other) {
+    return new MeshResponse(outcome, other, retryAfterMs, status, headers, body, serviceUs, load);
+  }
+
   /** Returns this response with another body. */
   public MeshResponse withBody(byte[] other) {
     return new MeshResponse(outcome, reason, retryAfterMs, status, headers, other, serviceUs, load);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/Reason.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/Reason.java
@@ -27,5 +27,7 @@
   /** The node has no desired state yet. */
   NOT_CONFIGURED,
   /** The connection to the target's node broke after the call was sent. */
-  NODE_LOST
+  NODE_LOST,
+  /** The target answered with a failure after a nested call of the call had failed. */
+  NESTED_FAILED
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RetryBudget.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/retry/RetryBudget.java
@@ -13,10 +13,10 @@
   private static final int BUCKETS = 10;
   // A retried call makes its nested calls again, which count as retries at the services called.
   // Those are at most the same share of that service's requests, so half of the ratio is reserved
-  // for them.
-  private static final double DIRECT_RETRY_RATIO_SHARE = 0.5;
+  // for them, and a little for the slack of the caller's budget, which nested calls multiply.
+  private static final double DIRECT_RETRY_RATIO_SHARE = 0.45;
   // The rest is reserved for windows that are not aligned between nodes and for unknown nodes.
-  private static final double USABLE_SLACK_SHARE = 0.6;
+  private static final double USABLE_SLACK_SHARE = 0.5;
 
   private double ratio;
   private double slack;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RetryBudgetTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RetryBudgetTest.java
@@ -108,4 +108,41 @@
     assertTrue(callerRetries <= 0.2 * callerRequests + 58);
     assertTrue(retries <= 0.2 * requests + 58, retries + " retries of " + requests);
   }
+
+  /**
+   * Guards against exceeding the budget of a service that is called several times by each request,
+   * whose callers use their whole budget as well: nested calls of retried calls are added to the
+   * retries that were allowed before them.
+   */
+  @Test
+  void severalNestedCallsOfEachRetriedCallFitIntoTheBudget() {
+    Random random = new Random(7);
+    double slack = 64;
+    int nodes = 12;
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      budgets.add(new RetryBudget(0.2, slack, 10_000));
+    }
+    int requests = 0;
+    int retries = 0;
+    for (long ms = 0; ms < 10_000; ms += 4) {
+      long now = ms * MS;
+      RetryBudget budget = budgets.get(random.nextInt(nodes));
+      budget.recordRequest("caller", now);
+      boolean retried = budget.tryRetry("caller", nodes, now);
+      for (int run = 0; run < (retried ? 2 : 1); run++) {
+        RetryBudget atTarget = budgets.get(random.nextInt(nodes));
+        for (int call = 0; call < (random.nextDouble() < 0.7 ? 2 : 0); call++) {
+          atTarget.recordRequest("called", now);
+          requests++;
+          if (run > 0) {
+            atTarget.recordRetry("called", now);
+            retries++;
+          }
+          retries += atTarget.tryRetry("called", nodes, now) ? 1 : 0;
+        }
+      }
+    }
+    assertTrue(retries <= 0.2 * requests + slack, retries + " retries of " + requests);
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -282,13 +282,17 @@
         boolean nodeLost = response.reason() == Reason.NODE_LOST;
         reportCallResult(attempt, nodeLost ? CallResult.CANCELLED : CallResult.ERROR, 0);
       }
-      default -> {
-        CallResult result = response.status() >= 500 ? CallResult.ERROR : CallResult.SUCCESS;
-        reportCallResult(attempt, result, response.serviceUs());
-      }
+      default -> reportCallResult(attempt, resultOf(response), response.serviceUs());
     }
   }
 
+  private static CallResult resultOf(MeshResponse response) {
+    if (response.reason() == Reason.NESTED_FAILED) {
+      return CallResult.CANCELLED;
+    }
+    return response.status() >= 500 ? CallResult.ERROR : CallResult.SUCCESS;
+  }
+
   private void reportCallResult(Attempt attempt, CallResult result, double serviceUs) {
     boolean cold = attempt.candidate.isCold(router.time.nanoTime());
     router.callObserver.onCallResult(attempt.target, route.name(), result, serviceUs, cold);
@@ -301,7 +305,7 @@
   private void onTargetResponse(MeshResponse response) {
     sentToTargets++;
     router.recordResponseBytes(route.name(), response.body().length);
-    if (response.status() >= 500 && response.status() != 504 && route.idempotent()) {
+    if (isWorthRetrying(response)) {
       mayHaveRun = true;
       failedResponse = response;
       retryOrEnd(true);
@@ -310,9 +314,21 @@
     finishWith(response);
   }
 
+  // A failed nested call has been retried itself; running the request again would only repeat all
+  // its nested calls.
+  private boolean isWorthRetrying(MeshResponse response) {
+    return response.status() >= 500
+        && response.status() != 504
+        && response.reason() != Reason.NESTED_FAILED
+        && route.idempotent();
+  }
+
   private void finishWith(MeshResponse response) {
     long waitUs = times.elapsedNanos() / 1_000 - response.serviceUs();
     recordNestedCall(isLongWait(waitUs));
+    if (response.status() >= 500) {
+      recordNestedFailure();
+    }
     finish(
         response.status(),
         response.status() < 500 ? "answered" : "target_failed",
@@ -369,6 +385,13 @@
     }
   }
 
+  private void recordNestedFailure() {
+    MeshCall caller = parent;
+    if (caller != null) {
+      router.gateway.recordNestedFailure(caller);
+    }
+  }
+
   private void finishWithoutSuccess() {
     MeshResponse failed = failedResponse;
     if (failed != null) {
@@ -376,6 +399,7 @@
       return;
     }
     recordNestedCall(lastReason == Reason.FULL);
+    recordNestedFailure();
     if (mayHaveRun) {
       finish(502, endName("failed"), HttpResponse.empty(502, List.of()));
     } else {
@@ -401,6 +425,7 @@
       return;
     }
     recordNestedCall(true);
+    recordNestedFailure();
     int status = !openAttempts.isEmpty() || mayHaveRun ? 504 : 503;
     finish(status, "deadline", HttpResponse.empty(status, List.of()));
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ResponseWriter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ResponseWriter.java
@@ -62,7 +62,7 @@
     this.maxPendingBytes = maxPendingBytes;
   }
 
-  /** Sets whether the other node can read bodies in parts. */
+  /** Sets whether the other node can read bodies in parts; those of earlier releases cannot. */
   void setAcceptsParts(boolean value) {
     acceptsParts = value;
   }
@@ -70,7 +70,9 @@
   /** Sends a response; a response that does not fit is replaced by one of unknown outcome. */
   void write(long callNumber, MeshResponse response) {
     int bytes = response.body().length;
-    if (!acceptsParts || bytes <= PART_BYTES) {
+    if (!acceptsParts) {
+      sender.accept(new PeerMessage.Response(callNumber, forEarlierRelease(response)));
+    } else if (bytes <= PART_BYTES) {
       sender.accept(new PeerMessage.Response(callNumber, response));
     } else if (!pending.isEmpty() && bytes > maxPendingBytes - pendingBytes) {
       sender.accept(
@@ -84,6 +86,12 @@
     }
   }
 
+  // Nodes of earlier releases close a connection on which they receive a reason that is new to
+  // them.
+  private static MeshResponse forEarlierRelease(MeshResponse response) {
+    return response.reason() == Reason.NESTED_FAILED ? response.withReason(Reason.NONE) : response;
+  }
+
   /** Continues with the pending bodies; called when the connection takes more bytes again. */
   void writePending() {
     while (!pending.isEmpty() && writable.getAsBoolean()) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -78,10 +78,11 @@
   }
 
   /** Converts a response for the calling node, without the call id, which that node knows. */
-  MeshResponse toMeshResponse(HttpResponse response, long serviceNanos, TargetLoad load) {
+  MeshResponse toMeshResponse(
+      HttpResponse response, Reason reason, long serviceNanos, TargetLoad load) {
     return new MeshResponse(
         Outcome.ANSWERED,
-        Reason.NONE,
+        reason,
         0,
         response.status(),
         HttpMessage.endToEnd(response.headers(), List.of(headerNames.callId())),
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -245,6 +245,11 @@
     queue.recordNestedCall(parent.route(), congested, time.nanoTime());
   }
 
+  /** Records that a nested call failed, which a call running in the target has made. */
+  public void recordNestedFailure(MeshCall parent) {
+    health.recordNestedFailure(parent);
+  }
+
   /** Returns the number of running and queued calls. */
   public int pendingCallCount() {
     return queue.running() + queue.queued();
@@ -389,10 +394,14 @@
             MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
       }
       default -> {
-        health.recordResponse(call, response.status(), serviceNanos);
+        boolean nestedFailed = response.status() >= 500 && health.hasNestedFailure(call);
+        if (!nestedFailed) {
+          health.recordResponse(call, response.status(), serviceNanos);
+        }
         metrics.recordTargetTime(
             response.status() < 300 ? "ok" : "status_" + response.status(), serviceNanos);
-        gatewayCall.complete(exchange.toMeshResponse(response, serviceNanos, load()));
+        Reason reason = nestedFailed ? Reason.NESTED_FAILED : Reason.NONE;
+        gatewayCall.complete(exchange.toMeshResponse(response, reason, serviceNanos, load()));
       }
     }
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetHealth.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetHealth.java
@@ -1,7 +1,9 @@
 package org.acaciapond.sidecar.target;
 
+import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.acaciapond.mesh.admission.ServiceTimes;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.target.TargetLoad;
@@ -15,6 +17,8 @@
 
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final Map<MeshCall, Long> sentAtNanos = new IdentityHashMap<>();
+  private final Set<MeshCall> withNestedFailure =
+      Collections.newSetFromMap(new IdentityHashMap<>());
   private double failureShare;
 
   ServiceTimes serviceTimes() {
@@ -33,6 +37,19 @@
 
   void recordEnded(MeshCall call) {
     sentAtNanos.remove(call);
+    withNestedFailure.remove(call);
+  }
+
+  /** Records that a nested call of a running call failed. */
+  void recordNestedFailure(MeshCall call) {
+    if (sentAtNanos.containsKey(call)) {
+      withNestedFailure.add(call);
+    }
+  }
+
+  /** Returns whether a nested call of a running call has failed. */
+  boolean hasNestedFailure(MeshCall call) {
+    return withNestedFailure.contains(call);
   }
 
   void recordResponse(MeshCall call, int status, long serviceNanos) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -302,6 +303,33 @@
     stopped.get(WAIT.toSeconds(), TimeUnit.SECONDS);
   }
 
+  /**
+   * Guards against retries at every level: a request whose nested call failed would run again, with
+   * all its nested calls, for a failure that the nested call's own retries could not mend.
+   */
+  @Test
+  void requestWhoseNestedCallFailedIsNotRetried() throws Exception {
+    TestMachine[] mesh = startOrdersMesh(2);
+    String route = ",[\"r3\",\"127.0.0.1\",\"/nested/\",\"idempotent\",8000,4000,1,\"other\",3]";
+    deployment.store.put(
+        "op", "config", STATE.formatted(3, route).replace("\"a\"", "\"127.0.0.1\""));
+    awaitCondition("the nested route is known", () -> status(mesh[1], "/nested/1") == 503);
+    awaitCondition("the nested route is known", () -> status(mesh[2], "/nested/1") == 503);
+    List<Integer> nestedStatuses = new CopyOnWriteArrayList<>();
+    for (int i = 1; i <= 2; i++) {
+      TestMachine each = mesh[i];
+      each.target.setResponseFunction(
+          exchange -> {
+            String id = exchange.header("X-Attempt-Id");
+            nestedStatuses.add(send(each, "GET", "/nested/1", id + ".1").statusCode());
+            return new org.acaciapond.http.HttpResponse(
+                500, List.of("X-Attempt-Id", id, "X-Server-Signature", "signed"), new byte[0]);
+          });
+    }
+    assertEquals(500, status(mesh[0], "/views/1"));
+    assertEquals(List.of(503), nestedStatuses);
+  }
+
   /** Guards against a planned stop that cuts off a response because its client reads slowly. */
   @Test
   void stoppingNodeWaitsForSlowReaders() throws Exception {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/ResponseWriterTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/ResponseWriterTest.java
@@ -115,6 +115,18 @@
     assertEquals(1, sent.size());
   }
 
+  /** Guards against a reason that makes a node of the earlier release close the connection. */
+  @Test
+  void earlierReleaseGetsNoReasonThatItDoesNotKnow() {
+    MeshResponse failed = response(10).withReason(Reason.NESTED_FAILED);
+    writer.write(1, failed);
+    writer.setAcceptsParts(false);
+    writer.write(2, failed);
+    List<Reason> reasons =
+        sent.stream().map(each -> ((PeerMessage.Response) each).response().reason()).toList();
+    assertEquals(List.of(Reason.NESTED_FAILED, Reason.NONE), reasons);
+  }
+
   /** Guards against a peer that sends parts without end. */
   @Test
   void partsBeyondTheLimitAreRejected() {
