Tell refused callers different times to return

Cause: every caller that found its service full was told the time of the first free slot, so that callers refused in the same moment returned together to room for one. Change: a node spreads its refused callers over the room that its share of the slots gives (ReturnSchedule), up to the time that clients wait.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -38,6 +38,8 @@
   // Less remaining time does not suffice for another call to a target.
   private static final int MIN_RETRY_TIME_LEFT_MS = 10;
   private static final double MAX_HEDGE_UTILIZATION = 0.7;
+  // Clients wait at most this share of their remaining time.
+  private static final double MAX_RETURN_SHARE = 0.33;
   // Share of the latency objective that a nested call may wait for a slot without being counted as
   // delayed by congestion.
   private static final double MAX_NESTED_WAIT_SHARE = 0.4;
@@ -404,6 +406,10 @@
       finish(502, endName("failed"), HttpResponse.empty(502, List.of()));
     } else {
       int afterMs = retryAfterMs == Integer.MAX_VALUE ? NO_TARGET_RETRY_AFTER_MS : retryAfterMs;
+      if (lastReason == Reason.FULL) {
+        int latestMs = (int) (times.leftMs() * MAX_RETURN_SHARE);
+        afterMs = router.returnDelayMs(service, route.name(), afterMs, latestMs);
+      }
       finish(
           503,
           endName("refused"),
