--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutControllerTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutControllerTest.java
@@ -51,7 +51,6 @@
       int arrivals = callsPerSecond * RolloutController.INTERVAL_MS / 1000;
       for (int i = 0; i < arrivals; i++) {
         int node = random.nextInt(NODES);
-        String domain = DOMAINS[node % DOMAINS.length];
         ExposureBudget budget = budgets.get(node);
         String route = random.nextInt(3) == 0 ? "orders" : "views";
         boolean toNew = random.nextInt(1000) < controller.sharePermille() && budget.allowsCall();
@@ -65,6 +64,7 @@
         latencyUs *= faulty ? fault.slowFactor : 1;
         latencyUs = toNew ? RolloutController.toleratedLatencyUs(latencyUs) : latencyUs;
         String version = toNew ? "v2" : "v1";
+        String domain = DOMAINS[node % DOMAINS.length];
         final boolean error = random.nextDouble() < (faulty ? fault.errorShare : 0.003);
         int[] callsAndErrors =
             counts
