--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -278,13 +278,13 @@
   private void reportCallResult(Attempt attempt, MeshResponse response) {
     switch (response.outcome()) {
       case REFUSED -> router.callObserver.onCallRefused(attempt.target);
-      case NOT_RUN -> reportCallResult(attempt, CallResult.NOT_RUN, 0);
+      case NOT_RUN -> notifyObserver(attempt, CallResult.NOT_RUN, 0);
       case UNKNOWN -> {
         // A broken connection between nodes tells nothing about the version of the target.
         boolean nodeLost = response.reason() == Reason.NODE_LOST;
-        reportCallResult(attempt, nodeLost ? CallResult.CANCELLED : CallResult.ERROR, 0);
+        notifyObserver(attempt, nodeLost ? CallResult.CANCELLED : CallResult.ERROR, 0);
       }
-      default -> reportCallResult(attempt, resultOf(response), response.serviceUs());
+      default -> notifyObserver(attempt, resultOf(response), response.serviceUs());
     }
   }
 
@@ -295,7 +295,7 @@
     return response.status() >= 500 ? CallResult.ERROR : CallResult.SUCCESS;
   }
 
-  private void reportCallResult(Attempt attempt, CallResult result, double serviceUs) {
+  private void notifyObserver(Attempt attempt, CallResult result, double serviceUs) {
     boolean cold = attempt.candidate.isCold(router.time.nanoTime());
     router.callObserver.onCallResult(attempt.target, route.name(), result, serviceUs, cold);
   }
@@ -424,7 +424,7 @@
   private void onDeadline() {
     for (Attempt attempt : openAttempts) {
       // The response would have taken at least this long.
-      reportCallResult(attempt, CallResult.SUCCESS, times.limitMs() * 1_000.0);
+      notifyObserver(attempt, CallResult.SUCCESS, times.limitMs() * 1_000.0);
     }
     if (failedResponse != null && openAttempts.isEmpty()) {
       finishWithoutSuccess();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -94,16 +94,16 @@
     return server.stop();
   }
 
-  /** Sends a message on all connections. */
-  void publish(PeerMessage message) {
-    connections.keySet().forEach(socket -> socket.send(message));
-  }
-
   /** Returns the bytes of response bodies that are not sent completely. */
   int pendingResponseBytes() {
     return connections.values().stream().mapToInt(each -> each.responses.pendingBytes()).sum();
   }
 
+  /** Sends a message on all connections. */
+  void publish(PeerMessage message) {
+    connections.keySet().forEach(socket -> socket.send(message));
+  }
+
   /** Sends a message to the nodes of some keys. */
   void publish(PeerMessage message, Set<String> keys) {
     connections.forEach(
