Measure the congestion of nested calls at their target

Cause: the limit of requests with nested calls measured the time that a nested call took beyond its service time. Change: a nested call counts as congested if it is refused as full, or if the answer shows as many queued calls as slots at its target.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -114,7 +114,8 @@
    * Records the end of a nested call that a running call has made.
    *
    * @param route route of the running call
-   * @param congested whether the nested call was refused or waited too long for a slot
+   * @param congested whether the nested call was refused as its service is full, or its target has
+   *     a long queue
    */
   public void recordNestedCall(String route, boolean congested, long nowNanos) {
     NestedCallLimit limit = nestedCallLimits.get(route);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/NestedCallLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/NestedCallLimit.java
@@ -28,7 +28,7 @@
   /**
    * Records the end of a nested call.
    *
-   * @param congested whether it was refused or waited too long for a slot
+   * @param congested whether it was refused as its service is full, or its target has a long queue
    * @param slots slots of the target that makes the nested calls
    */
   void record(boolean congested, int slots, long nowNanos) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
@@ -24,10 +24,6 @@
     return limitMs;
   }
 
-  int objectiveMs() {
-    return objectiveMs;
-  }
-
   /** Returns the time since the request was received. */
   long elapsedNanos() {
     return time.nanoTime() - receivedNanos;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -40,9 +40,6 @@
   private static final double MAX_HEDGE_UTILIZATION = 0.7;
   // Clients wait at most this share of their remaining time.
   private static final double MAX_RETURN_SHARE = 0.33;
-  // Share of the latency objective that a nested call may wait for a slot without being counted as
-  // delayed by congestion.
-  private static final double MAX_NESTED_WAIT_SHARE = 0.4;
 
   private final RequestRouter router;
   private final HttpExchange exchange;
@@ -326,8 +323,7 @@
   }
 
   private void finishWith(MeshResponse response) {
-    long waitUs = times.elapsedNanos() / 1_000 - response.serviceUs();
-    recordNestedCall(isLongWait(waitUs));
+    recordNestedCall(isFromCongestedTarget(response));
     if (response.status() >= 500) {
       recordNestedFailure();
     }
@@ -376,8 +372,12 @@
     return allowed;
   }
 
-  private boolean isLongWait(long waitUs) {
-    return waitUs > MAX_NESTED_WAIT_SHARE * times.objectiveMs() * 1_000;
+  // With at least as many queued calls as slots, a call waits for about one service time. The time
+  // that passed at this node would include delays of the network and of busy hosts, which fewer
+  // running requests do not shorten.
+  private boolean isFromCongestedTarget(MeshResponse response) {
+    Candidate last = lastCandidate;
+    return last != null && response.load().queued() >= Math.max(1, last.status().slots());
   }
 
   private void recordNestedCall(boolean congested) {
@@ -430,14 +430,12 @@
       finishWithoutSuccess();
       return;
     }
-    recordNestedCall(true);
     recordNestedFailure();
     int status = !openAttempts.isEmpty() || mayHaveRun ? 504 : 503;
     finish(status, "deadline", HttpResponse.empty(status, List.of()));
   }
 
   private void onClientClosed() {
-    recordNestedCall(isLongWait(times.elapsedNanos() / 1_000));
     finish(0, "client_left", null);
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -239,7 +239,8 @@
    * Records the end of a nested call that a call running in the target has made.
    *
    * @param parent the running call
-   * @param congested whether the nested call was refused or waited too long for a slot
+   * @param congested whether the nested call was refused as its service is full, or its target has
+   *     a long queue
    */
   public void recordNestedCall(MeshCall parent, boolean congested) {
     queue.recordNestedCall(parent.route(), congested, time.nanoTime());
