--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -11,7 +11,6 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpExchange;
 import org.acaciapond.http.HttpResponse;
-import org.acaciapond.mesh.admission.ReturnSchedule;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -22,7 +21,6 @@
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
-import org.acaciapond.mesh.target.Candidate;
 import org.acaciapond.mesh.target.TargetChooser;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.target.TargetGateway;
@@ -38,7 +36,6 @@
   private static final double RESPONSE_BYTES_SMOOTHING_FACTOR = 0.05;
   private static final int MAX_ROUTES = 4_096;
   private static final int DEFAULT_TIMEOUT_MS = 60_000;
-  private static final long MAX_RETURN_INTERVAL_NANOS = 1_000_000_000L;
 
   final Vertx vertx;
   final SidecarSettings settings;
@@ -58,7 +55,6 @@
   final List<String> systemHeaders;
   final AttemptLatencies latencies = new AttemptLatencies();
   private final Map<String, Double> responseBytes = new HashMap<>();
-  private final Map<String, ReturnSchedule> returnSchedules = new HashMap<>();
   private boolean refusing;
   private final Set<RoutedRequest> openRequests = new LinkedHashSet<>();
 
@@ -106,28 +102,6 @@
     return responseBytes.getOrDefault(route, DEFAULT_RESPONSE_BYTES);
   }
 
-  /**
-   * Returns the delay after which a request that found its service full should return.
-   *
-   * @param earliestMs time after which a slot is expected to be free
-   * @param latestMs longest time that the client waits
-   */
-  int returnDelayMs(String service, String route, int earliestMs, int latestMs) {
-    int slots = 0;
-    for (Candidate candidate : network.candidates(service)) {
-      slots += candidate.status().acceptsCalls() ? candidate.status().slots() : 0;
-    }
-    double serviceUs = latencies.meanServiceUs(route);
-    double slotsOfThisNode = (double) slots / network.knownNodeCount();
-    long intervalNanos =
-        slots == 0
-            ? 0
-            : (long) Math.min(MAX_RETURN_INTERVAL_NANOS, serviceUs * 1e3 / slotsOfThisNode);
-    return returnSchedules
-        .computeIfAbsent(service, name -> new ReturnSchedule())
-        .delayMs(earliestMs, latestMs, intervalNanos, time.nanoTime());
-  }
-
   /** Records the length of a response. */
   void recordResponseBytes(String route, int bytes) {
     if (responseBytes.size() < MAX_ROUTES || responseBytes.containsKey(route)) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -38,8 +38,10 @@
   // Less remaining time does not suffice for another call to a target.
   private static final int MIN_RETRY_TIME_LEFT_MS = 10;
   private static final double MAX_HEDGE_UTILIZATION = 0.7;
-  // Clients wait at most this share of their remaining time.
-  private static final double MAX_RETURN_SHARE = 0.33;
+  // Queued calls per slot at which the target of a nested call is congested: calls wait for about
+  // as
+  // many service times.
+  private static final int LONG_QUEUE_SLOTS = 3;
 
   private final RequestRouter router;
   private final HttpExchange exchange;
@@ -372,12 +374,12 @@
     return allowed;
   }
 
-  // With at least as many queued calls as slots, a call waits for about one service time. The time
-  // that passed at this node would include delays of the network and of busy hosts, which fewer
-  // running requests do not shorten.
+  // The time that passed at this node would include delays of the network and of busy hosts, which
+  // fewer running requests do not shorten.
   private boolean isFromCongestedTarget(MeshResponse response) {
     Candidate last = lastCandidate;
-    return last != null && response.load().queued() >= Math.max(1, last.status().slots());
+    return last != null
+        && response.load().queued() >= LONG_QUEUE_SLOTS * Math.max(1, last.status().slots());
   }
 
   private void recordNestedCall(boolean congested) {
@@ -406,10 +408,6 @@
       finish(502, endName("failed"), HttpResponse.empty(502, List.of()));
     } else {
       int afterMs = retryAfterMs == Integer.MAX_VALUE ? NO_TARGET_RETRY_AFTER_MS : retryAfterMs;
-      if (lastReason == Reason.FULL) {
-        int latestMs = (int) (times.leftMs() * MAX_RETURN_SHARE);
-        afterMs = router.returnDelayMs(service, route.name(), afterMs, latestMs);
-      }
       finish(
           503,
           endName("refused"),
