--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/exposure/ExposureLimits.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/exposure/ExposureLimits.java
@@ -10,7 +10,7 @@
 public record ExposureLimits(double share, double slackCalls) {
 
   // The rest is reserved for nodes that this one does not know.
-  private static final double USABLE_SLACK_SHARE = 0.5;
+  private static final double USABLE_SLACK_SHARE = 0.6;
 
   /** Returns the part of the slack that one of the given number of nodes may use. */
   public double slackCallsPerNode(int nodes) {
--- a/acaciapond-rollout/src/main/java/org/acaciapond/rollout/exposure/ExposureSchedule.java
+++ b/acaciapond-rollout/src/main/java/org/acaciapond/rollout/exposure/ExposureSchedule.java
@@ -11,11 +11,12 @@
 
   private static final int ALL_REQUESTS_PERMILLE = 1000;
   // Parts of the share limit.
-  private static final double TRIAL_PART = 0.25;
-  private static final double RAISE_PART = 0.7;
-  private static final double LATEST_RAISE_PART = 0.45;
-  private static final double COMPLETED_PART = 0.25;
-  private static final double LOW_SHARE_PART = 0.1;
+  private static final double TRIAL_PART = 0.2;
+  private static final double RAISE_PART = 0.75;
+  private static final double LATEST_RAISE_PART = 0.6;
+  // Nodes count from the arrival of the order, which may be half a second after the order itself.
+  private static final double COMPLETED_PART = 0.45;
+  private static final double LOW_SHARE_PART = 0.08;
   // Late enough to show faults that begin during the rollout; the responses of slow calls arrive
   // before the raise.
   private static final double LOAD_TRIAL_START_FRACTION = 0.62;
