Leave the refusal of nested calls to the node of their target

Change: for nested calls only urgent queued calls count as ahead; the target's own node decides by exact figures. Test: urgentRequestIsNotRefusedForLessUrgentOnesThatWait has a nested call as well.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -89,7 +89,7 @@
     int slots = Math.max(1, candidate.status().slots());
     double meanServiceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double ahead =
-        CallRank.isUrgent(criteria.rank())
+        precedesNormalCalls(criteria.rank())
             ? candidate.urgentPending(nowNanos)
             : candidate.pending(nowNanos);
     double routeServiceUs = criteria.serviceUs() > 0 ? criteria.serviceUs() : typicalUs;
@@ -118,6 +118,13 @@
     return candidate.isAvoided(nowNanos) ? cost + AVOIDED_COST : cost;
   }
 
+  // For nested calls of low priority this counts too few calls ahead. The target's node refuses
+  // them
+  // if necessary; a refusal here would waste the work done for their request without need.
+  private static boolean precedesNormalCalls(int rank) {
+    return CallRank.isUrgent(rank) || CallRank.isNested(rank);
+  }
+
   private static double missProbability(double serviceUs, double leftUs) {
     return leftUs <= 0 ? 1 : 1 / (1 + Math.pow(leftUs / serviceUs, MISS_EXPONENT));
   }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -68,6 +68,9 @@
     SelectionCriteria normal = new SelectionCriteria(1_000, 0, NORMAL, 400_000, 800_000);
     assertNull(chooser.choose(List.of(local), each -> true, normal, 0));
     assertEquals(local, chooser.choose(List.of(local), each -> true, CRITERIA, 0));
+    int nestedRank = CallRank.ofNestedCall(NORMAL);
+    SelectionCriteria nested = new SelectionCriteria(1_000, 0, nestedRank, 400_000, 800_000);
+    assertEquals(local, chooser.choose(List.of(local), each -> true, nested, 0));
   }
 
   @Test
