Simplify what the read of the diff found

No change of behaviour. The ids of accepting targets are collected once for the count and for the selection of new targets; the writer of a rollout's progress is created in one place; counters without a label are registered like the others; a conversion that saturates needs no check; a comment that the formatter had broken is whole again.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/NestedCallLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/NestedCallLimit.java
@@ -53,8 +53,6 @@
 
   /** Returns the number of calls that may run at once. */
   int limit(long nowNanos) {
-    return nowNanos - recordedNanos > VALIDITY_NANOS || limit > Integer.MAX_VALUE
-        ? Integer.MAX_VALUE
-        : (int) limit;
+    return nowNanos - recordedNanos > VALIDITY_NANOS ? Integer.MAX_VALUE : (int) limit;
   }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
@@ -235,23 +235,24 @@
 
   /** Returns the number of a service's targets of a version that accept calls. */
   public static int acceptingTargets(String version, List<Candidate> candidates) {
-    int count = 0;
+    return acceptingTargetIds(version, candidates).size();
+  }
+
+  private static List<String> acceptingTargetIds(String version, List<Candidate> candidates) {
+    List<String> ids = new ArrayList<>();
     for (Candidate candidate : candidates) {
       TargetStatus status = candidate.status();
-      count += status.acceptsCalls() && status.version().equals(version) ? 1 : 0;
+      if (status.acceptsCalls() && status.version().equals(version)) {
+        ids.add(status.id());
+      }
     }
-    return count;
+    return ids;
   }
 
   // Selects the lowest ids, so that all nodes send the share to the same targets.
   private static Predicate<Candidate> newVersionTargets(
       String version, List<Candidate> candidates, int sharePermille) {
-    List<String> ids = new ArrayList<>();
-    for (Candidate candidate : candidates) {
-      if (candidate.status().acceptsCalls() && candidate.status().version().equals(version)) {
-        ids.add(candidate.status().id());
-      }
-    }
+    List<String> ids = acceptingTargetIds(version, candidates);
     ids.sort(null);
     int count = ids.isEmpty() ? 0 : ExposureSchedule.targetCount(sharePermille, ids.size());
     Set<String> selectedIds = new HashSet<>(ids.subList(0, count));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -38,9 +38,8 @@
   // Less remaining time does not suffice for another call to a target.
   private static final int MIN_RETRY_TIME_LEFT_MS = 10;
   private static final double MAX_HEDGE_UTILIZATION = 0.7;
-  // Queued calls per slot at which the target of a nested call is congested: calls wait for about
-  // as
-  // many service times.
+  // Queued calls per slot at which the target of a nested call is congested. A call waits for about
+  // as many service times.
   private static final int LONG_QUEUE_SLOTS = 3;
 
   private final RequestRouter router;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
@@ -353,14 +353,7 @@
 
   private void advance(RunningRollout rollout, RolloutController controller) {
     if (rollout.progressWriter == null) {
-      rollout.progressWriter =
-          new RolloutProgressWriter(
-              vertx,
-              store,
-              codec,
-              rollout.order,
-              (progress, rowVersion) -> onEnded(rollout, progress, rowVersion),
-              log);
+      rollout.progressWriter = createProgressWriter(rollout);
       rollout.progressWriter.setDesiredState(RolloutState.RUNNING);
     }
     boolean changed = controller.decide(rollout.elapsedMs(), acceptingTargets(rollout.order));
@@ -398,6 +391,16 @@
     }
   }
 
+  private RolloutProgressWriter createProgressWriter(RunningRollout rollout) {
+    return new RolloutProgressWriter(
+        vertx,
+        store,
+        codec,
+        rollout.order,
+        (progress, rowVersion) -> onEnded(rollout, progress, rowVersion),
+        log);
+  }
+
   private int acceptingTargets(RolloutOrder order) {
     PeerNetwork peers = network;
     return peers == null
@@ -436,14 +439,7 @@
     RolloutProgressWriter progressWriter = rollout.progressWriter;
     PeerNetwork peers = network;
     if (progressWriter == null && peers != null && peers.lowestKey().equals(nodeKey)) {
-      progressWriter =
-          new RolloutProgressWriter(
-              vertx,
-              store,
-              codec,
-              rollout.order,
-              (progress, rowVersion) -> onEnded(rollout, progress, rowVersion),
-              log);
+      progressWriter = createProgressWriter(rollout);
     }
     if (progressWriter != null) {
       progressWriter.setDesiredState(state);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -48,10 +48,8 @@
         registerCounter(
             "acaciapond_target_connections_total", "New connections to the target.", "result");
     stateBytesSent =
-        Counter.builder()
-            .name("acaciapond_state_bytes_sent_total")
-            .help("Bytes of operator rows sent to other nodes.")
-            .register(registry);
+        registerCounter(
+            "acaciapond_state_bytes_sent_total", "Bytes of operator rows sent to other nodes.");
     requestSeconds =
         registerHistogram("acaciapond_request_seconds", "Time of a request at this node.");
     targetSeconds = registerHistogram("acaciapond_target_seconds", "Time of a call in the target.");
@@ -62,10 +60,9 @@
     logLinesDropped =
         registerGauge("acaciapond_log_lines_dropped", "Log lines that were not written.");
     unprovenVersionCalls =
-        Counter.builder()
-            .name("acaciapond_unproven_version_calls_total")
-            .help("Calls sent to versions that were not proven good.")
-            .register(registry);
+        registerCounter(
+            "acaciapond_unproven_version_calls_total",
+            "Calls sent to versions that were not proven good.");
     routesOfUnknownKind =
         registerGauge(
             "acaciapond_routes_of_unknown_kind",
@@ -76,8 +73,8 @@
             "Calls to versions that were not proven good, sent beyond the exposure budget.");
   }
 
-  private Counter registerCounter(String name, String help, String label) {
-    return Counter.builder().name(name).help(help).labelNames(label).register(registry);
+  private Counter registerCounter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
   }
 
   private Gauge registerGauge(String name, String help) {
