--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -41,6 +41,7 @@
   static final int DRAIN_MS = 2_000;
   static final int CONTACT_MS = 3_000;
   static final int BEAT_MS = 1_500;
+  private static final int MAX_UNREAD_MS = 1_000;
   private static final int MAX_RUN_MS = 115_000;
 
   final Path folder;
@@ -194,6 +195,7 @@
     }
     for (Machine each : machines) {
       each.upstream.startBeats();
+      each.startReadyChecks();
     }
     sleep(CONTACT_MS + 1_000);
     return true;
@@ -234,6 +236,8 @@
     final String ip;
     Upstream upstream;
     volatile Process process;
+    // Whether the platform counts the node as ready: two misses in a row take it out.
+    volatile boolean in = true;
     private int starts;
 
     Machine(Rig rig, String name, String zone, String service, String ip) {
@@ -380,6 +384,24 @@
       }
     }
 
+    /** Asks the node once a second whether it is ready, as the platform does. */
+    private void startReadyChecks() {
+      rig.spawn(
+          name + "-ready",
+          () -> {
+            int misses = 0;
+            while (true) {
+              misses = isReady() ? 0 : misses + 1;
+              boolean now = misses < 2;
+              if (now != in) {
+                rig.note(name + (now ? " counts as ready again" : " is out after two misses"));
+                in = now;
+              }
+              sleep(1_000);
+            }
+          });
+    }
+
     void stopForGood() {
       if (upstream != null) {
         upstream.close();
@@ -403,12 +425,34 @@
       try (Socket socket = new Socket()) {
         socket.connect(new InetSocketAddress(ip, outboundPort()), 1_000);
         sentMs = rig.ms();
-        Http.writeRequest(
-            socket.getOutputStream(),
-            method,
-            path,
-            List.of("Host", "mesh.example", "X-Attempt-Id", id, "X-Timeout-Ms", "" + timeoutMs),
-            body);
+        // A client gives up an attempt that the node does not read within a second.
+        boolean[] written = {false, false};
+        rig.spawn(
+            "reading-watch",
+            () -> {
+              sleep(MAX_UNREAD_MS);
+              synchronized (written) {
+                if (!written[0]) {
+                  written[1] = true;
+                  socket.close();
+                }
+              }
+            });
+        try {
+          Http.writeRequest(
+              socket.getOutputStream(),
+              method,
+              path,
+              List.of("Host", "mesh.example", "X-Attempt-Id", id, "X-Timeout-Ms", "" + timeoutMs),
+              body);
+        } finally {
+          synchronized (written) {
+            written[0] = true;
+          }
+        }
+        if (written[1]) {
+          throw new IOException("not read");
+        }
         socket.setSoTimeout(timeoutMs + 1_000);
         try {
           Http.Message message = Http.read(new BufferedInputStream(socket.getInputStream()));
@@ -429,12 +473,12 @@
                   ? "status "
                       + answer.status
                       + (answer.message.header("X-Server-Signature") == null ? "" : ", signed")
-                  : answer.status == 0 ? "connection ended, no answer" : "no connection"));
+                  : answer.status == 0 ? "no answer" : "no connection, or not read"));
       return answer;
     }
   }
 
-  /** Result of a request: status, 0 if the connection ended, -1 if there was no connection. */
+  /** Result of a request: status, 0 if none came, -1 without a connection or if it was not read. */
   record Answer(
       String id,
       String machine,
