--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -349,7 +349,7 @@
       if (current != null && current.isAlive()) {
         rig.note(this.name + ": SIG" + name + " to the node");
         Process kill =
-            new ProcessBuilder("kill", "-" + name, Long.toString(current.pid())).start();
+            new ProcessBuilder("sh", "-c", "kill -" + name + " " + current.pid()).start();
         try {
           kill.waitFor(5, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
