--- a/review/rig/LongBodies.java
+++ b/review/rig/LongBodies.java
@@ -4,7 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 
-/** Uploads of 3 MB, within max_body_bytes, while one of two upstreams is slow. */
+/** Uploads of 3 MB, within max_body_bytes, while one of three upstreams is slow. */
 final class LongBodies {
 
   private static final int TIMEOUT_MS = 3_000;
@@ -40,6 +40,7 @@
     Rig.Machine a = rig.machine("a1", "z1", "alpha", "v1", WORK_MS);
     Rig.Machine b = rig.machine("b1", "z1", "beta", "v1", WORK_MS);
     rig.machine("c1", "z2", "beta", "v1", WORK_MS);
+    rig.machine("d1", "z3", "beta", "v1", WORK_MS);
     if (!rig.start()) {
       return Rig.EXIT_NOT_RUN;
     }
