Join the stop that is under way when a node is asked to stop again

Cause: SidecarProcess.stop() returned a completed result when a stop was under way, and the handler of SIGTERM ends the process when that result completes. The log of the node has no 'stopped' line and the exit code was 0, which rules out the JVM's own handler (143) and a stop that took its work for done.

Change: the result of the first stop is kept and returned to every further caller.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -81,7 +81,7 @@
   private final HttpListener ready;
   private final HttpListener control;
   private final HttpListener metricsListener;
-  private boolean stopping;
+  private @Nullable Uni<Void> stopResult;
   private boolean readyLogged;
 
   /** Creates a node and wires its components. */
@@ -212,7 +212,8 @@
   }
 
   private boolean isReady() {
-    boolean readyNow = !stopping && desiredState.current() != null && network.isConnectedToAny();
+    boolean readyNow =
+        stopResult == null && desiredState.current() != null && network.isConnectedToAny();
     if (readyNow && !readyLogged) {
       readyLogged = true;
       log.event(
@@ -277,14 +278,22 @@
 
   /**
    * Stops the node without aborting requests: it reports that it is not ready, serves until clients
-   * have stopped using it, and waits for the requests in flight.
+   * have stopped using it, and waits for the requests in flight. Further calls join the stop that
+   * is under way; each result completes only when the node has stopped.
    */
   @Override
   public Uni<Void> stop() {
-    if (stopping) {
-      return Uni.createFrom().voidItem();
+    Uni<Void> underWay = stopResult;
+    if (underWay != null) {
+      log.event("stop_repeated", "open", router.openRequestCount());
+      return underWay;
     }
-    stopping = true;
+    Uni<Void> result = completeOpenWork().memoize().indefinitely();
+    stopResult = result;
+    return result;
+  }
+
+  private Uni<Void> completeOpenWork() {
     log.event("stop", "open", router.openRequestCount(), "at_target", gateway.pendingCallCount());
     outbound.closeConnectionsAfterResponses();
     vertx.setTimer(SHUTDOWN_ANNOUNCEMENT_DELAY_MS, id -> gateway.announceNodeShutdown());
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/SidecarProcessTest.java
@@ -303,6 +303,22 @@
     stopped.get(WAIT.toSeconds(), TimeUnit.SECONDS);
   }
 
+  /** Guards against a node that ends with open requests because it was asked to stop twice. */
+  @Test
+  void secondStopWaitsForOpenRequestsLikeTheFirst() throws Exception {
+    TestMachine[] mesh = startOrdersMesh(1);
+    mesh[1].target.setProcessingMs(1_500);
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(
+            request(mesh[0], "GET", "/views/1", nextId()), HttpResponse.BodyHandlers.ofString());
+    Thread.sleep(200);
+    CompletableFuture<Void> first = mesh[0].stop();
+    CompletableFuture<Boolean> answered =
+        mesh[0].stop().thenApply(done -> response.isDone() && first.isDone());
+    assertTrue(answered.get(WAIT.toSeconds(), TimeUnit.SECONDS));
+    assertEquals(200, response.get().statusCode());
+  }
+
   /**
    * Guards against retries at every level: a request whose nested call failed would run again, with
    * all its nested calls, for a failure that the nested call's own retries could not mend.
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -159,7 +160,8 @@
     paused = false;
   }
 
-  private boolean signal(String name) {
+  /** Sends a signal to the node's process; returns whether that succeeded. */
+  boolean signal(String name) {
     Process current = process;
     if (current == null) {
       return false;
@@ -173,6 +175,13 @@
     }
   }
 
+  /** Waits for the end of the node's process; returns its exit code. */
+  int awaitExit() {
+    Process current = Objects.requireNonNull(process);
+    awaitExit(current);
+    return current.exitValue();
+  }
+
   private static void awaitExit(Process ended) {
     try {
       if (!ended.waitFor(EXIT_TIMEOUT_S, TimeUnit.SECONDS)) {
