Install the signal handlers of the node first, and stop gracefully on SIGINT

Callers saw: requests in flight were cut when a node was stopped with SIGINT; a node that was told of changed settings while it started ended and had to be started again.

Cause: handlers were installed after the start, for SIGTERM and SIGHUP only. Without a handler of its own, a Java process ends at once on any of the three signals.

Change: the handlers are installed before the settings are read. A stop signal ends the process with 0 before the node exists and stops the node afterwards; changed settings are read once it exists.

Tests, red before: StopSignalTest with INT, INT TERM, and SIGHUP and SIGTERM while the node reads its settings (through a pipe, so that the signal always arrives then).

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarMain.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import org.acaciapond.adapter.HttpMeshStore;
 import org.acaciapond.adapter.JsonPlatformCodec;
 import org.acaciapond.adapter.SettingsFile;
@@ -20,6 +21,7 @@
 /** Entry point of a sidecar node. Exit codes: 0 stopped, 2 invalid settings, 4 start failed. */
 public final class SidecarMain {
 
+  private static final int EXIT_STOPPED = 0;
   private static final int EXIT_INVALID_SETTINGS = 2;
   private static final int EXIT_START_FAILED = 4;
   private static final int HEAP_TO_BODY_RATIO = 8;
@@ -27,8 +29,13 @@
 
   private SidecarMain() {}
 
+  /** Node of this process, once it exists; confined to its event loop. */
+  private record RunningNode(Vertx vertx, SidecarProcess process, EventLog log) {}
+
   /** Runs a node until the platform asks the process to stop. */
   public static void main(String[] args) {
+    CompletableFuture<RunningNode> node = new CompletableFuture<>();
+    installSignalHandlers(node);
     PrintStream out =
         new PrintStream(new FileOutputStream(FileDescriptor.out), false, StandardCharsets.UTF_8);
     TimeSource time = TimeSource.system();
@@ -59,11 +66,12 @@
                   new HttpMeshStore(vertx, settings.store(), time),
                   log,
                   time);
+          node.complete(new RunningNode(vertx, process, log));
           process
               .start()
               .subscribe()
               .with(
-                  done -> installSignalHandlers(vertx, process, log),
+                  done -> {},
                   error -> {
                     log.event("no_start", "error", error.getMessage());
                     log.stop().subscribe().with(done -> {});
@@ -85,31 +93,43 @@
                 .setFileCachingEnabled(false));
   }
 
-  // The platform stops a process with SIGTERM and announces changed settings with SIGHUP, which
-  // terminates a Java process that has no handler for it.
-  private static void installSignalHandlers(Vertx vertx, SidecarProcess process, EventLog log) {
-    Signal.handle(new Signal("HUP"), signal -> vertx.runOnContext(on -> reload(process, log)));
-    Signal.handle(
-        new Signal("TERM"),
-        signal ->
-            vertx.runOnContext(
-                on ->
-                    process
-                        .stop()
-                        .subscribe()
-                        .with(
-                            done -> {
-                              log.stop().subscribe().with(written -> {});
-                              Runtime.getRuntime().halt(0);
-                            })));
+  // SIGTERM and SIGINT stop the node, SIGHUP announces changed settings. The JVM ends at once on a
+  // signal without a handler, so the handlers are installed before the node exists.
+  private static void installSignalHandlers(CompletableFuture<RunningNode> node) {
+    Signal.handle(new Signal("HUP"), signal -> node.thenAccept(SidecarMain::reload));
+    Signal.handle(new Signal("TERM"), signal -> stop(node));
+    Signal.handle(new Signal("INT"), signal -> stop(node));
   }
 
-  private static void reload(SidecarProcess process, EventLog log) {
-    try {
-      process.reload(SettingsFile.read(settingsPath()));
-    } catch (SettingsException e) {
-      log.event("settings_kept", "problem", e.getMessage());
+  private static void stop(CompletableFuture<RunningNode> node) {
+    if (!node.isDone()) {
+      // No request has been accepted yet.
+      Runtime.getRuntime().halt(EXIT_STOPPED);
     }
+    node.thenAccept(running -> running.vertx().runOnContext(on -> stop(running)));
+  }
+
+  private static void stop(RunningNode node) {
+    node.process()
+        .stop()
+        .subscribe()
+        .with(
+            done -> {
+              node.log().stop().subscribe().with(written -> {});
+              Runtime.getRuntime().halt(EXIT_STOPPED);
+            });
+  }
+
+  private static void reload(RunningNode node) {
+    node.vertx()
+        .runOnContext(
+            on -> {
+              try {
+                node.process().reload(SettingsFile.read(settingsPath()));
+              } catch (SettingsException e) {
+                node.log().event("settings_kept", "problem", e.getMessage());
+              }
+            });
   }
 
   private static Path settingsPath() {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -1,11 +1,15 @@
 package org.acaciapond.sidecar.soak;
 
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.BindException;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -20,6 +24,7 @@
 
   private static final long EXIT_TIMEOUT_S = 20;
   private static final int MAX_LOG_LINES = 12;
+  private static final int SIGNAL_DELIVERY_MS = 300;
   private static final int MIN_PORT = 10_000;
   private static final int MAX_PORT = 30_000;
   private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
@@ -30,13 +35,14 @@
   private final int peerPort = freePort();
   private final String key;
   private final Path directory;
+  private final String settings;
   private @Nullable Process process;
   private boolean paused;
 
   SoakNode(Path directory, String key, String zone, String service, int targetPort, int storePort) {
     this.directory = directory;
     this.key = key;
-    writeSettings(
+    settings =
         """
         node=%s
         ip=127.0.0.1
@@ -61,7 +67,8 @@
                 targetPort,
                 peerPort,
                 peerPort,
-                storePort));
+                storePort);
+    writeSettings();
   }
 
   // Chosen below the ephemeral port range: an outgoing connection could otherwise take the port
@@ -93,7 +100,7 @@
     }
   }
 
-  private void writeSettings(String settings) {
+  private void writeSettings() {
     try {
       Files.writeString(settingsFile(), settings);
     } catch (IOException e) {
@@ -127,6 +134,36 @@
     }
   }
 
+  /**
+   * Starts the node and sends it a signal while it is reading its settings, which are complete only
+   * afterwards.
+   */
+  void startAndSignalBeforeSettings(String signal) throws IOException {
+    Path file = settingsFile();
+    Files.delete(file);
+    awaitExit(new ProcessBuilder("mkfifo", file.toString()).start());
+    start();
+    // Opening the pipe returns when the node has opened its other end.
+    try (OutputStream out = new FileOutputStream(file.toFile())) {
+      Path complete = directory.resolve(key + ".complete");
+      Files.writeString(complete, settings);
+      Files.move(complete, file, StandardCopyOption.REPLACE_EXISTING);
+      signal(signal);
+      pauseBriefly();
+      if (isRunning()) {
+        out.write(settings.getBytes(StandardCharsets.UTF_8));
+      }
+    }
+  }
+
+  private static void pauseBriefly() {
+    try {
+      Thread.sleep(SIGNAL_DELIVERY_MS);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   boolean isRunning() {
     Process current = process;
     return current != null && current.isAlive();
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/StopSignalTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/StopSignalTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +20,7 @@
 import org.acaciapond.standin.StandInStore;
 import org.acaciapond.standin.StandInTarget;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -94,11 +96,11 @@
 
   /**
    * Guards against requests in flight that are cut off because a stopping node receives another
-   * signal.
+   * signal, or because a signal other than SIGTERM asks it to stop.
    */
   @ParameterizedTest
-  @ValueSource(strings = {"TERM", "TERM TERM", "TERM TERM TERM", "TERM HUP"})
-  void requestInFlightIsCompletedWhenSignalsFollowEachOther(String signals) throws Exception {
+  @ValueSource(strings = {"TERM", "TERM TERM", "TERM TERM TERM", "INT", "INT TERM", "TERM HUP"})
+  void requestInFlightIsCompletedWhateverSignalsArrive(String signals) throws Exception {
     node.start();
     awaitServing();
     target.setProcessingMs(PROCESSING_MS);
@@ -111,4 +113,18 @@
     assertEquals(200, response.get(WAIT.toSeconds(), TimeUnit.SECONDS).statusCode());
     assertEquals(0, node.awaitExit(), node::lastLines);
   }
+
+  /** Guards against a node that ends when settings change during its start. */
+  @Test
+  void changeOfSettingsDuringTheStartDoesNotEndTheNode() throws Exception {
+    node.startAndSignalBeforeSettings("HUP");
+    awaitServing();
+  }
+
+  /** Guards against a process that ignores a stop signal because it is still starting. */
+  @Test
+  void stopSignalDuringTheStartEndsTheNode() throws IOException {
+    node.startAndSignalBeforeSettings("TERM");
+    assertEquals(0, node.awaitExit(), node::lastLines);
+  }
 }
