Confirm the departure of a target only when the store holds it

Cause: a confirmed departure was remembered by processes only, by the node and by those connected to it. After the end of all of them nothing told the late check-in from one of a running target: the log of the restarted node goes from UNKNOWN to READY without a target_recalled line.

Change: the row of a node in the store holds the departures of its target. A restarted node admits calls when it has read its row, or after 1.5 s. No further read at the start; one write a departure.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -180,31 +180,12 @@
     };
   }
 
-  /** Encodes the registration record of a node for the store. */
-  public static byte[] encodeNode(NodeRecord node) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      writeNode(out, node);
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "node record cannot be encoded", e);
-    }
-  }
-
-  /** Decodes the registration record of a node. */
-  public static NodeRecord decodeNode(byte[] bytes) {
-    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-      return readNode(in);
-    } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
-      throw new PeerException(PeerErrorCode.MALFORMED_MESSAGE, "node record cannot be decoded", e);
-    }
-  }
-
-  private static void writeNode(MessageBufferPacker out, NodeRecord node) throws IOException {
+  static void writeNode(MessageBufferPacker out, NodeRecord node) throws IOException {
     out.packString(node.key()).packString(node.host()).packInt(node.port());
     out.packString(node.domain()).packString(node.service()).packLong(node.startedMs());
   }
 
-  private static NodeRecord readNode(MessageUnpacker in) throws IOException {
+  static NodeRecord readNode(MessageUnpacker in) throws IOException {
     return new NodeRecord(
         in.unpackString(),
         in.unpackString(),
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
@@ -91,6 +91,17 @@
     return changed;
   }
 
+  /**
+   * Returns the start of a lifetime, or 0 if the message has none and the lifetime is not known.
+   */
+  public long startOf(String id, long startedMs) {
+    CheckIn current = latest;
+    if (startedMs == 0 && current != null && current.id().equals(id)) {
+      return current.startedMs();
+    }
+    return startedMs;
+  }
+
   /** Applies the last phase that another node knows; returns whether the phase changed. */
   public boolean restorePhase(String id, long startedMs, TargetPhase lastKnown) {
     if (lastKnown != TargetPhase.DRAINING && lastKnown != TargetPhase.GONE) {
@@ -98,15 +109,29 @@
     }
     latestEndedStartMs = Math.max(latestEndedStartMs, startedMs);
     CheckIn current = latest;
-    boolean sameLifetime =
-        current != null && current.id().equals(id) && current.startedMs() == startedMs;
-    if (sameLifetime && phase == TargetPhase.READY) {
+    boolean ended = current != null && current.startedMs() <= startedMs;
+    if (ended && phase == TargetPhase.READY) {
       phase = lastKnown;
       return true;
     }
     return false;
   }
 
+  /** Applies a departure that was stored before this node started; returns as above. */
+  public boolean restoreDeparture(TargetDeparture departure) {
+    if (departure.startedMs() > 0) {
+      return restorePhase(departure.id(), departure.startedMs(), TargetPhase.DRAINING);
+    }
+    deregisteredAtMs.put(departure.id(), departure.receivedMs());
+    CheckIn current = latest;
+    if (current != null && phase == TargetPhase.READY && isDeregistered(current)) {
+      phase = TargetPhase.GONE;
+      latestEndedStartMs = Math.max(latestEndedStartMs, current.startedMs());
+      return true;
+    }
+    return false;
+  }
+
   /** Returns the current phase. */
   public TargetPhase phase() {
     return phase;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
@@ -79,4 +79,44 @@
     assertFalse(later.accept(checkIn("a", 100, 31, false)));
     assertTrue(later.accept(checkIn("b", 200, 1, false)));
   }
+
+  /** Guards against late check-ins of a lifetime whose departure is only known from the store. */
+  @Test
+  void storedDepartureExcludesItsLifetime() {
+    lifecycle.restoreDeparture(new TargetDeparture("a", 100, 5_000));
+    assertFalse(lifecycle.accept(checkIn("a", 100, 31, false)));
+    assertTrue(lifecycle.accept(checkIn("a", 200, 1, false)));
+    assertEquals(TargetPhase.READY, lifecycle.phase());
+  }
+
+  @Test
+  void storedDepartureEndsLifetimeThatWasAcceptedBefore() {
+    lifecycle.accept(checkIn("a", 100, 31, false));
+    assertTrue(lifecycle.restoreDeparture(new TargetDeparture("a", 100, 5_000)));
+    assertEquals(TargetPhase.DRAINING, lifecycle.phase());
+  }
+
+  /** Guards against a lifetime before the departed one, whose check-in is even later. */
+  @Test
+  void storedDepartureEndsOlderLifetimes() {
+    lifecycle.accept(checkIn("a", 50, 9, false));
+    assertTrue(lifecycle.restoreDeparture(new TargetDeparture("b", 100, 5_000)));
+    assertEquals(TargetPhase.DRAINING, lifecycle.phase());
+  }
+
+  @Test
+  void storedDepartureDoesNotEndNewerLifetime() {
+    lifecycle.accept(checkIn("a", 200, 1, false));
+    assertFalse(lifecycle.restoreDeparture(new TargetDeparture("a", 100, 5_000)));
+    assertEquals(TargetPhase.READY, lifecycle.phase());
+  }
+
+  @Test
+  void storedDepartureWithoutStartTimeExcludesEarlierStartsOfItsId() {
+    lifecycle.accept(checkIn("a", 100, 31, false));
+    assertTrue(lifecycle.restoreDeparture(new TargetDeparture("a", 0, 5_000)));
+    assertEquals(TargetPhase.GONE, lifecycle.phase());
+    assertFalse(lifecycle.accept(checkIn("a", 100, 32, false)));
+    assertTrue(lifecycle.accept(checkIn("a", 6_000, 1, false)));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -54,11 +54,12 @@
   private static final int SHUTDOWN_ANNOUNCEMENT_DELAY_MS = 1_200;
   // The platform kills a process at the end of the grace period; requests get this share of it.
   private static final double GRACE_SHARE = 0.85;
-  // Peers send a restarted node the last known status of its target. The target gateway starts to
-  // admit calls a short time after the first peer has connected, or after the longer time without
-  // any peer.
+  // Peers and the node's row in the store hold the departures that a restarted node does not know.
+  // The target gateway starts to admit calls a short time after the first peer has connected and
+  // the
+  // row has been read, or after the longer time without one of them.
   private static final int ADMISSION_DELAY_AFTER_PEER_MS = 100;
-  private static final int ADMISSION_DELAY_WITHOUT_PEER_MS = 1_500;
+  private static final int MAX_ADMISSION_DELAY_MS = 1_500;
   private static final int ADMISSION_CHECK_INTERVAL_MS = 50;
   private static final int STOP_CHECK_INTERVAL_MS = 50;
   private static final int QUIET_PERIOD_MS = 300;
@@ -155,6 +156,7 @@
             store,
             self,
             network::addOrUpdateNode,
+            gateway::restoreDeparture,
             network::markNodeTableRead,
             log,
             metrics,
@@ -170,7 +172,8 @@
             log,
             metrics,
             random);
-    ControlEndpoint controlEndpoint = new ControlEndpoint(codec, gateway, log, metrics);
+    ControlEndpoint controlEndpoint =
+        new ControlEndpoint(vertx, codec, gateway, nodeRegistry::recordDeparture, log, metrics);
     StatusEndpoint statusEndpoint =
         new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
     outbound = createListener(settings.outbound(), this::clientLimits, router::handle);
@@ -254,9 +257,8 @@
     vertx.setPeriodic(
         ADMISSION_CHECK_INTERVAL_MS,
         id -> {
-          boolean timedOut =
-              (time.nanoTime() - startNanos) / 1_000_000 >= ADMISSION_DELAY_WITHOUT_PEER_MS;
-          if (network.connectedPeerCount() > 0) {
+          boolean timedOut = (time.nanoTime() - startNanos) / 1_000_000 >= MAX_ADMISSION_DELAY_MS;
+          if (network.connectedPeerCount() > 0 && nodeRegistry.isTableRead()) {
             vertx.cancelTimer(id);
             vertx.setTimer(ADMISSION_DELAY_AFTER_PEER_MS, timer -> gateway.startAdmission());
           } else if (timedOut) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -1,18 +1,25 @@
 package org.acaciapond.sidecar.state;
 
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.mesh.peer.NodeRecord;
-import org.acaciapond.mesh.peer.PeerCodec;
+import org.acaciapond.mesh.peer.NodeRow;
+import org.acaciapond.mesh.peer.NodeRowCodec;
 import org.acaciapond.mesh.peer.PeerException;
 import org.acaciapond.mesh.store.MeshStore;
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.mesh.store.WriteOutcome;
+import org.acaciapond.mesh.target.TargetDeparture;
+import org.acaciapond.mesh.target.TargetDepartures;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
@@ -21,6 +28,10 @@
  * other nodes. A node reads the table after it has written its own row. Of any two nodes, the one
  * that registers later therefore finds the other and connects to it, and the other learns of it
  * through that connection; no node has to watch the table for changes.
+ *
+ * <p>The row of a node also holds the confirmed departures of its target, so that they outlive the
+ * processes of all nodes. Each write is conditional on the version of the row that was read, so
+ * that a delayed write of an earlier process cannot remove a departure.
  */
 public final class NodeRegistry {
 
@@ -31,25 +42,38 @@
   private static final int MAX_BACKOFF_MS = 1_000;
   // A periodic read detects that another writer has changed or removed this node's row.
   private static final int REFRESH_INTERVAL_MS = 60_000;
+  private static final long NO_TIMER = -1;
 
   private final Vertx vertx;
   private final MeshStore store;
   private final NodeRecord self;
   private final Consumer<NodeRecord> onNode;
+  private final Consumer<TargetDeparture> onDeparture;
   private final Runnable onRead;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final DoubleSupplier random;
   private final Map<String, Long> rowVersions = new HashMap<>();
+  private final List<PendingDeparture> pendingDepartures = new ArrayList<>();
+  // Departures that the row has to hold, and those that it is known to hold.
+  private TargetDepartures departures = TargetDepartures.NONE;
+  private TargetDepartures storedDepartures = TargetDepartures.NONE;
+  private boolean tableRead;
   private boolean registered;
+  private boolean rowVersionKnown;
+  private long refreshTimer = NO_TIMER;
   private int backoffMs = MIN_BACKOFF_MS;
 
+  /** Departure that somebody waits for to be stored. */
+  private record PendingDeparture(TargetDeparture departure, UniEmitter<? super Void> emitter) {}
+
   /** Creates a registry. */
   public NodeRegistry(
       Vertx vertx,
       MeshStore store,
       NodeRecord self,
       Consumer<NodeRecord> onNode,
+      Consumer<TargetDeparture> onDeparture,
       Runnable onRead,
       EventLog log,
       NodeMetrics metrics,
@@ -58,6 +82,7 @@
     this.store = store;
     this.self = self;
     this.onNode = onNode;
+    this.onDeparture = onDeparture;
     this.onRead = onRead;
     this.log = log;
     this.metrics = metrics;
@@ -69,6 +94,41 @@
     read();
   }
 
+  /** Returns whether the table, and so this node's row, has been read since the start. */
+  public boolean isTableRead() {
+    return tableRead;
+  }
+
+  /** Stores a departure of the target in this node's row; completes once the row holds it. */
+  public Uni<Void> recordDeparture(TargetDeparture departure) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              if (storedDepartures.covers(departure)) {
+                emitter.complete(null);
+                return;
+              }
+              PendingDeparture pending = new PendingDeparture(departure, emitter);
+              pendingDepartures.add(pending);
+              emitter.onTermination(() -> pendingDepartures.remove(pending));
+              departures = departures.with(departure);
+              if (vertx.cancelTimer(refreshTimer)) {
+                updateRow();
+              }
+            });
+  }
+
+  // Not called while a read, a write or a delayed write is under way: its end shows whether the row
+  // has to be written again.
+  private void updateRow() {
+    refreshTimer = NO_TIMER;
+    if (rowVersionKnown) {
+      write();
+    } else {
+      read();
+    }
+  }
+
   private void read() {
     store.read(StoreArea.NODES).subscribe().with(this::onRows, this::onFailure);
   }
@@ -89,26 +149,38 @@
     metrics.countStoreCall("ok");
     backoffMs = MIN_BACKOFF_MS;
     registered = false;
+    rowVersionKnown = true;
+    rowVersions.remove(self.key());
+    storedDepartures = TargetDepartures.NONE;
     for (StoreRow row : rows.rows()) {
       boolean newer = row.version() > rowVersions.getOrDefault(row.key(), 0L);
       rowVersions.put(row.key(), row.version());
-      if (newer || row.key().equals(self.key())) {
+      if (newer) {
         processRow(row);
       }
     }
+    tableRead = true;
     onRead.run();
-    if (registered) {
-      vertx.setTimer(REFRESH_INTERVAL_MS, id -> read());
+    completeStoredDepartures();
+    maintainRow();
+  }
+
+  private void maintainRow() {
+    if (registered && storedDepartures.coversAll(departures)) {
+      refreshTimer = vertx.setTimer(REFRESH_INTERVAL_MS, id -> read());
+    } else if (registered || !pendingDepartures.isEmpty()) {
+      write();
     } else {
       vertx.setTimer(
           MIN_REGISTER_DELAY_MS + (long) (random.getAsDouble() * REGISTER_SPREAD_MS),
-          id -> register());
+          id -> write());
     }
   }
 
   private void processRow(StoreRow row) {
     try {
-      NodeRecord node = PeerCodec.decodeNode(row.value());
+      NodeRow decoded = NodeRowCodec.decode(row.value());
+      NodeRecord node = decoded.node();
       if (!node.key().equals(row.key()) || node.port() < 1 || node.port() > 65_535) {
         log.event(
             "node_row_ignored",
@@ -117,7 +189,8 @@
             "problem",
             "key differs from the node key or port is invalid");
       } else if (node.key().equals(self.key())) {
-        registered |= hasCurrentAddress(node);
+        registered = hasCurrentAddress(node);
+        restoreDepartures(decoded.departures());
       } else {
         onNode.accept(node);
       }
@@ -133,27 +206,55 @@
         && node.service().equals(self.service());
   }
 
-  private void register() {
+  private void restoreDepartures(TargetDepartures stored) {
+    storedDepartures = stored;
+    for (TargetDeparture departure : stored.all()) {
+      if (!departures.covers(departure)) {
+        departures = departures.with(departure);
+        onDeparture.accept(departure);
+      }
+    }
+  }
+
+  private void write() {
+    TargetDepartures written = departures;
     long expected = rowVersions.getOrDefault(self.key(), 0L);
     store
-        .write(StoreArea.NODES, self.key(), PeerCodec.encodeNode(self), expected)
+        .write(
+            StoreArea.NODES, self.key(), NodeRowCodec.encode(new NodeRow(self, written)), expected)
         .subscribe()
         .with(
-            this::onWritten,
+            outcome -> onWritten(outcome, written),
             error -> {
               log.event("node_unregistered", "error", error.getMessage());
-              onWritten(WriteOutcome.UNKNOWN);
+              onWritten(WriteOutcome.UNKNOWN, written);
             });
   }
 
-  // The next read shows the current row, whatever the outcome was.
-  private void onWritten(WriteOutcome outcome) {
+  // Unless the write took effect, the next read shows the current row.
+  private void onWritten(WriteOutcome outcome, TargetDepartures written) {
     metrics.countStoreCall("write_" + outcome);
-    log.event("node_registered", "outcome", outcome);
-    if (outcome == WriteOutcome.WRITTEN) {
-      read();
-    } else {
+    log.event("node_registered", "outcome", outcome, "departures", written.all().size());
+    rowVersionKnown = false;
+    if (outcome != WriteOutcome.WRITTEN) {
       retry(this::read);
+      return;
+    }
+    storedDepartures = written;
+    completeStoredDepartures();
+    if (registered && written.coversAll(departures)) {
+      maintainRow();
+    } else {
+      read();
     }
   }
+
+  private void completeStoredDepartures() {
+    List<PendingDeparture> stored =
+        pendingDepartures.stream()
+            .filter(each -> storedDepartures.covers(each.departure()))
+            .toList();
+    pendingDepartures.removeAll(stored);
+    stored.forEach(each -> each.emitter().complete(null));
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -15,6 +15,7 @@
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.target.CheckIn;
+import org.acaciapond.mesh.target.TargetDeparture;
 import org.acaciapond.mesh.target.TargetLifecycle;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
@@ -122,13 +123,25 @@
     statusListener = listener;
   }
 
-  /** Applies a check-in of the target. */
-  public void applyCheckIn(CheckIn checkIn) {
+  /**
+   * Applies a check-in of the target.
+   *
+   * @return the departure that the check-in announces, which has to be stored before the check-in
+   *     is confirmed; null if it announces none
+   */
+  public @Nullable TargetDeparture applyCheckIn(CheckIn checkIn) {
     if (!checkIn.service().equals(service)) {
       metrics.countCheckIn("other_service");
       log.checkInIgnored(checkIn);
-      return;
+      return null;
     }
+    updateLifecycle(checkIn);
+    return checkIn.draining()
+        ? new TargetDeparture(checkIn.id(), checkIn.startedMs(), time.now().toEpochMilli())
+        : null;
+  }
+
+  private void updateLifecycle(CheckIn checkIn) {
     final CheckIn previous = lifecycle.latest();
     final TargetPhase previousPhase = lifecycle.phase();
     boolean changed = lifecycle.accept(checkIn);
@@ -148,21 +161,36 @@
     applyStatusChange();
   }
 
-  /** Applies a deregistration of the target. */
-  public void deregister(String id, long startedMs) {
-    boolean changed = lifecycle.deregister(id, startedMs, time.now().toEpochMilli());
+  /**
+   * Applies a deregistration of the target.
+   *
+   * @return the departure, which has to be stored before the deregistration is confirmed
+   */
+  public TargetDeparture deregister(String id, long startedMs) {
+    long nowMs = time.now().toEpochMilli();
+    boolean changed = lifecycle.deregister(id, startedMs, nowMs);
     metrics.countCheckIn("leave");
     log.deregistered(id, startedMs, changed);
     if (changed) {
       applyStatusChange();
     }
+    return new TargetDeparture(id, lifecycle.startOf(id, startedMs), nowMs);
+  }
+
+  /** Applies a departure of the target that was stored before this node started. */
+  public void restoreDeparture(TargetDeparture departure) {
+    boolean changed = lifecycle.restoreDeparture(departure);
+    log.statusRestored(departure.id(), TargetPhase.DRAINING, "store", changed);
+    if (changed) {
+      applyStatusChange();
+    }
   }
 
   /** Applies the last status of the target that another node knew before this node started. */
   public void restoreStatus(TargetStatus lastKnown) {
     boolean changed =
         lifecycle.restorePhase(lastKnown.id(), lastKnown.startedMs(), lastKnown.phase());
-    log.statusRestored(lastKnown.id(), lastKnown.phase(), changed);
+    log.statusRestored(lastKnown.id(), lastKnown.phase(), "peer", changed);
     if (changed) {
       applyStatusChange();
     }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
@@ -41,8 +41,8 @@
     log.event("target_left", "id", id, "born_ms", startedMs, "held", changed);
   }
 
-  void statusRestored(String id, TargetPhase phase, boolean changed) {
-    log.event("target_recalled", "id", id, "phase", phase, "held", changed);
+  void statusRestored(String id, TargetPhase phase, String source, boolean changed) {
+    log.event("target_recalled", "id", id, "phase", phase, "source", source, "held", changed);
   }
 
   void admissionStarted(TargetPhase phase) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -123,14 +123,15 @@
     return stopped;
   }
 
-  /** Sends a check-in of the target to the node. */
-  public void checkIn(boolean draining) {
+  /** Sends a check-in of the target to the node; returns whether the node confirms it. */
+  public CompletableFuture<Boolean> checkIn(boolean draining) {
     sequence++;
-    target.checkIn(HOST, settings.control().port(), "v1", 4, draining, sequence);
+    return target.checkIn(HOST, settings.control().port(), "v1", 4, draining, sequence);
   }
 
-  void deregister() {
-    target.deregister(HOST, settings.control().port());
+  /** Deregisters the target at the node; returns whether the node confirms it. */
+  CompletableFuture<Boolean> deregister() {
+    return target.deregister(HOST, settings.control().port());
   }
 
   /** Stops the node and the target. */
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -223,7 +223,14 @@
       deregisteredTarget = index;
       targets
           .get(index)
-          .deregister("127.0.0.1", nodes.get(index).controlPort, deregistered::countDown);
+          .deregister("127.0.0.1", nodes.get(index).controlPort)
+          .thenAccept(confirmed -> recordDeregistration(confirmed));
+    }
+  }
+
+  private void recordDeregistration(boolean confirmed) {
+    if (confirmed) {
+      deregistered.countDown();
     }
   }
 
