Keep deregistrations without a start time whichever lifetime is current, and only those

Callers would see: calls to a target that had deregistered, once a late check-in with a later start than the current lifetime's arrives; and no calls to a target that starts again under an id that was deregistered before the node's first check-in.

Change: it is remembered by id and time if, and only if, it has no start time.

Tests, red before: TargetLifecycleTest.deregistrationWithoutStartTimeExcludesLifetimeThatIsNotCurrent and lateDeregistrationWithStartTimeDoesNotExcludeLaterLifetimeOfTheId.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
@@ -80,7 +80,7 @@
         || (startedMs != 0 && startedMs != current.startedMs())) {
       // The lifetime is not the current one: a later check-in of it must not make it ready.
       latestEndedStartMs = Math.max(latestEndedStartMs, startedMs);
-      if (current == null && deregisteredAtMs.size() < MAX_DEREGISTERED_IDS) {
+      if (startedMs == 0 && deregisteredAtMs.size() < MAX_DEREGISTERED_IDS) {
         deregisteredAtMs.put(id, nowMs);
       }
       return false;
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
@@ -119,4 +119,22 @@
     assertFalse(lifecycle.accept(checkIn("a", 100, 32, false)));
     assertTrue(lifecycle.accept(checkIn("a", 6_000, 1, false)));
   }
+
+  /**
+   * Guards against a confirmed departure that is forgotten as another lifetime is the current one.
+   */
+  @Test
+  void deregistrationWithoutStartTimeExcludesLifetimeThatIsNotCurrent() {
+    lifecycle.accept(checkIn("a", 100, 9, false));
+    lifecycle.deregister("b", 0, 5_000);
+    assertFalse(lifecycle.accept(checkIn("b", 200, 7, false)));
+    assertEquals("a", lifecycle.latest().id());
+  }
+
+  /** Guards against a restarted target that gets no calls, as its id was deregistered before. */
+  @Test
+  void lateDeregistrationWithStartTimeDoesNotExcludeLaterLifetimeOfTheId() {
+    lifecycle.deregister("a", 100, 5_000);
+    assertTrue(lifecycle.accept(checkIn("a", 4_000, 7, false)));
+  }
 }
