Let the soak kill all nodes after a confirmed deregistration, with late check-ins

Now its check-ins go on with the sequence number of its departure, the deregistration is repeated until it is confirmed, and all nodes are killed right after that; the check that the target does not run applies to every seed, no longer only to those in which the confirmation came by chance.

--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultSoakTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/FaultSoakTest.java
@@ -10,7 +10,7 @@
 /**
  * Guards against violations of the mesh's guarantees under overlapping faults: non-idempotent
  * requests that run twice or although they were refused, responses to other requests, calls to
- * deregistered targets, and nodes that never serve again.
+ * deregistered targets, also after all nodes were killed, and nodes that never serve again.
  *
  * <p>To run more seeds: {@code mvn -B -pl acaciapond-sidecar -am test -Dtest=FaultSoakTest
  * -Dsurefire.failIfNoSpecifiedTests=false -Dacaciapond.soak.from=1 -Dacaciapond.soak.to=50
@@ -29,6 +29,7 @@
     try (SoakRun run = new SoakRun(seed, directory)) {
       run.awaitServing();
       run.injectFaults(Duration.ofSeconds(Integer.getInteger("acaciapond.soak.seconds", 6)));
+      run.killAllNodesAfterDeregistration();
       run.awaitServing();
       run.checkGuarantees();
     }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -32,6 +32,7 @@
   private static final int REQUEST_INTERVAL_MS = 15;
   private static final int CHECK_IN_INTERVAL_MS = 300;
   private static final int DRAIN_WAIT_MS = 2_000;
+  private static final int DEREGISTRATION_RETRY_MS = 500;
   private static final Duration WAIT = Duration.ofSeconds(60);
   private static final String STATE =
       """
@@ -64,7 +65,8 @@
   private final List<String> faults = new ArrayList<>();
   private final long seed;
   private final CountDownLatch deregistered = new CountDownLatch(1);
-  private int deregisteredTarget = -1;
+  private volatile int deregisteredTarget = -1;
+  private volatile long deregistrationSequence;
   private int stateVersion;
   private long sequence;
   private int nextRequestNumber;
@@ -101,9 +103,9 @@
   private void checkIn() {
     sequence++;
     for (int i = 0; i < NODES; i++) {
-      if (i != deregisteredTarget) {
-        targets.get(i).checkIn("127.0.0.1", nodes.get(i).controlPort, "v1", SLOTS, false, sequence);
-      }
+      // Check-ins that the deregistered target sent before may arrive late.
+      long number = i == deregisteredTarget ? deregistrationSequence : sequence;
+      targets.get(i).checkIn("127.0.0.1", nodes.get(i).controlPort, "v1", SLOTS, false, number);
     }
   }
 
@@ -220,27 +222,41 @@
   // At most one target deregisters per run, so that the others can handle the load.
   private void deregister(int index) {
     if (deregisteredTarget < 0) {
+      deregistrationSequence = sequence;
       deregisteredTarget = index;
-      targets
-          .get(index)
-          .deregister("127.0.0.1", nodes.get(index).controlPort)
-          .thenAccept(confirmed -> recordDeregistration(confirmed));
+      sendDeregistration();
     }
   }
 
+  private void sendDeregistration() {
+    targets
+        .get(deregisteredTarget)
+        .deregister("127.0.0.1", nodes.get(deregisteredTarget).controlPort)
+        .thenAccept(this::recordDeregistration);
+  }
+
   private void recordDeregistration(boolean confirmed) {
     if (confirmed) {
       deregistered.countDown();
     }
   }
 
+  /** Kills all nodes as soon as one of them has confirmed that its target deregistered. */
+  void killAllNodesAfterDeregistration() throws InterruptedException {
+    deregister(0);
+    long endNanos = System.nanoTime() + WAIT.toNanos();
+    while (!deregistered.await(DEREGISTRATION_RETRY_MS, TimeUnit.MILLISECONDS)) {
+      assertTrue(System.nanoTime() < endNanos, () -> "no confirmation; " + this);
+      restartExitedNodes();
+      sendDeregistration();
+    }
+    nodes.forEach(SoakNode::kill);
+  }
+
   /** Checks the guarantees of the mesh against what clients and targets have recorded. */
   void checkGuarantees() throws InterruptedException {
-    boolean confirmed = deregistered.await(0, TimeUnit.SECONDS);
-    if (confirmed) {
-      Thread.sleep(DRAIN_WAIT_MS);
-    }
-    int runsBefore = confirmed ? targets.get(deregisteredTarget).runs() : 0;
+    Thread.sleep(DRAIN_WAIT_MS);
+    int runsBefore = targets.get(deregisteredTarget).runs();
     for (int i = 0; i < 50; i++) {
       send();
       Thread.sleep(REQUEST_INTERVAL_MS);
@@ -254,12 +270,8 @@
           assertTrue(runs <= 1, "order " + id + " ran " + runs + " times; " + this);
           assertTrue(status != 503 || runs == 0, "order " + id + " was refused but ran; " + this);
         });
-    if (confirmed) {
-      assertEquals(
-          runsBefore,
-          targets.get(deregisteredTarget).runs(),
-          "the deregistered target ran; " + this);
-    }
+    assertEquals(
+        runsBefore, targets.get(deregisteredTarget).runs(), "the deregistered target ran; " + this);
     assertTrue(orderStatuses.containsValue(200), "no order was served; " + this);
   }
 
