--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -55,8 +55,8 @@
   // The platform kills a process at the end of the grace period; requests get this share of it.
   private static final double GRACE_SHARE = 0.85;
   // Peers and the node's row in the store hold the departures that a restarted node does not know.
-  // The target gateway starts to admit calls a short time after a peer has connected and the row has
-  // been read, or after the longer time without one of them.
+  // The target gateway starts to admit calls a short time after a peer has connected and the row
+  // has been read, or after the longer time without one of them.
   private static final int ADMISSION_DELAY_AFTER_PEER_MS = 100;
   private static final int MAX_ADMISSION_DELAY_MS = 1_500;
   private static final int ADMISSION_CHECK_INTERVAL_MS = 50;
