--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -256,7 +256,7 @@
   /** Checks the guarantees of the mesh against what clients and targets have recorded. */
   void checkGuarantees() throws InterruptedException {
     Thread.sleep(DRAIN_WAIT_MS);
-    int runsBefore = targets.get(deregisteredTarget).runs();
+    final int runsBefore = targets.get(deregisteredTarget).runs();
     for (int i = 0; i < 50; i++) {
       send();
       Thread.sleep(REQUEST_INTERVAL_MS);
