Send a node the departure that others have read in its row

Callers would see: requests to a target that had left, from a node that was killed with all others and started again while it could not read the store.

Change: they remember the departure in the row like one that they were told, and send it to the node.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetDepartures.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetDepartures.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Departures of the lifetimes of one target; immutable.
@@ -31,6 +32,11 @@
     return others.all.stream().allMatch(this::covers);
   }
 
+  /** Returns the departure of the lifetime that started last, or null if no start time is known. */
+  public @Nullable TargetDeparture latestStarted() {
+    return all.stream().filter(each -> each.startedMs() > 0).findFirst().orElse(null);
+  }
+
   /** Returns these departures and another one; beyond the limit, the oldest are dropped. */
   public TargetDepartures with(TargetDeparture departure) {
     if (covers(departure)) {
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetDeparturesTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetDeparturesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -52,6 +53,15 @@
         TargetDepartures.NONE.with(STARTED_AT_100).with(WITHOUT_START).with(later).all());
   }
 
+  @Test
+  void latestStartedIsTheOneThatCoversAllOthersWithStartTime() {
+    assertNull(TargetDepartures.NONE.with(WITHOUT_START).latestStarted());
+    TargetDeparture later = new TargetDeparture("b", 200, 6_000);
+    TargetDepartures departures =
+        TargetDepartures.NONE.with(STARTED_AT_100).with(later).with(WITHOUT_START);
+    assertEquals(later, departures.latestStarted());
+  }
+
   /** Guards against a row that grows beyond the store's limit. */
   @Test
   void numberOfDeparturesIsBounded() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -154,7 +154,7 @@
             vertx,
             store,
             self,
-            network::addOrUpdateNode,
+            network::applyRow,
             gateway::restoreDeparture,
             network::markNodeTableRead,
             log,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ConnectedTargets.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ConnectedTargets.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.peer.NodeRow;
 import org.acaciapond.mesh.target.Candidate;
+import org.acaciapond.mesh.target.TargetDeparture;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -14,7 +16,8 @@
 
 /**
  * Targets that this node is connected to, and the last known status of targets that announced their
- * shutdown. The index by service is replaced as a whole, so readers need no lock.
+ * shutdown, to it or according to the store. The index by service is replaced as a whole, so
+ * readers need no lock.
  */
 final class ConnectedTargets {
 
@@ -72,6 +75,32 @@
     return stoppedTargets.get(node);
   }
 
+  /**
+   * Remembers the departure in a node's row in the store; returns the status of the departed
+   * target, or null if there is none that was not known.
+   */
+  @Nullable TargetStatus rememberDeparture(NodeRow row) {
+    TargetDeparture departure = row.departures().latestStarted();
+    String node = row.node().key();
+    TargetStatus known = stoppedTargets.get(node);
+    if (departure == null || (known != null && known.startedMs() >= departure.startedMs())) {
+      return null;
+    }
+    TargetStatus departed =
+        new TargetStatus(
+            departure.id(),
+            departure.startedMs(),
+            row.node().service(),
+            "",
+            TargetPhase.DRAINING,
+            0,
+            0,
+            false,
+            0);
+    stoppedTargets.put(node, departed);
+    return departed;
+  }
+
   // A node that restarts does not know that its target has announced its shutdown.
   private void updateStopped(String node, TargetStatus status) {
     TargetStatus stopped = stoppedTargets.get(node);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -19,6 +19,7 @@
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.NodeRecord;
+import org.acaciapond.mesh.peer.NodeRow;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.peer.PeerTopology;
 import org.acaciapond.mesh.target.Candidate;
@@ -105,6 +106,18 @@
     return inbound.stop();
   }
 
+  /**
+   * Applies the row of a node in the store. The node may have restarted without access to the
+   * store, so it is sent the departure of its target.
+   */
+  public void applyRow(NodeRow row) {
+    TargetStatus departed = targets.rememberDeparture(row);
+    if (departed != null) {
+      inbound.publish(new PeerMessage.StoppedTarget(departed), Set.of(row.node().key()));
+    }
+    addOrUpdateNode(row.node());
+  }
+
   /** Adds or updates a node from a record of the store or of a peer. */
   public void addOrUpdateNode(NodeRecord node) {
     if (node.key().equals(self.key())) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -47,7 +47,7 @@
   private final Vertx vertx;
   private final MeshStore store;
   private final NodeRecord self;
-  private final Consumer<NodeRecord> onNode;
+  private final Consumer<NodeRow> onNode;
   private final Consumer<TargetDeparture> onDeparture;
   private final Runnable onRead;
   private final EventLog log;
@@ -72,7 +72,7 @@
       Vertx vertx,
       MeshStore store,
       NodeRecord self,
-      Consumer<NodeRecord> onNode,
+      Consumer<NodeRow> onNode,
       Consumer<TargetDeparture> onDeparture,
       Runnable onRead,
       EventLog log,
@@ -192,7 +192,7 @@
         registered = hasCurrentAddress(node);
         restoreDepartures(decoded.departures());
       } else {
-        onNode.accept(node);
+        onNode.accept(decoded);
       }
     } catch (PeerException e) {
       log.event("node_row_ignored", "key", row.key(), "problem", e.getMessage());
