Join the leaving that is under way when the membership is stopped again

No process calls it twice today, so no caller was harmed.

Test, red before: MembershipServiceTest.secondStopWaitsForTheLeavingLikeTheFirst.

--- a/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/membership/MembershipService.java
@@ -82,7 +82,7 @@
   private boolean seedsRefreshRunning;
   private long catchUpStartMs;
   private long timerId = -1;
-  private boolean stopping;
+  private @Nullable Uni<Void> stopResult;
 
   private record RunningState(Context context, MembershipState state, PeerLinks links) {}
 
@@ -151,13 +151,26 @@
     return Uni.createFrom().voidItem();
   }
 
+  /**
+   * Announces that the node leaves and, after the drain delay, that it has left. Further calls join
+   * the stop that is under way.
+   */
   @Override
   public Uni<Void> stop() {
-    RunningState active = runningState;
-    if (active == null || stopping) {
-      return Uni.createFrom().voidItem();
+    synchronized (startLock) {
+      if (runningState == null) {
+        return Uni.createFrom().voidItem();
+      }
+      Uni<Void> underWay = stopResult;
+      if (underWay == null) {
+        underWay = leave().memoize().indefinitely();
+        stopResult = underWay;
+      }
+      return underWay;
     }
-    stopping = true;
+  }
+
+  private Uni<Void> leave() {
     runOnContext((r, now) -> execute(r, r.state().announceLeaving(now), now));
     return delay(Duration.ofMillis(drainDelayMs))
         .invoke(() -> runOnContext((r, now) -> execute(r, r.state().announceLeft(now), now)))
--- a/acaciapond-node/src/test/java/org/acaciapond/node/membership/MembershipServiceTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/membership/MembershipServiceTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.acaciapond.common.time.TimeSource;
@@ -174,6 +175,16 @@
         "target of the leaving node still listed");
   }
 
+  /** Guards against a node that goes on with its stop before it has announced its leaving. */
+  @Test
+  void secondStopWaitsForTheLeavingLikeTheFirst() {
+    platformDown = true;
+    Node node = new Node("h1", "a", List.of());
+    CompletableFuture<Void> first = node.service.stop().subscribeAsCompletionStage();
+    node.service.stop().await().atMost(HANG_LIMIT);
+    assertTrue(first.isDone());
+  }
+
   @Test
   void nodesWithoutConfiguredSeedsJoinThroughSeedRows() throws Exception {
     Node first = new Node("h1", "a", List.of());
