Start nodes of the soak with the default handling of SIGINT

A shell that starts a command in the background makes it ignore SIGINT; Maven, its JVM and the node inherit that, and a JVM leaves an ignored signal ignored. The check is the same.

--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -115,6 +115,10 @@
   void start() {
     ProcessBuilder builder =
         new ProcessBuilder(
+            // Tests that a shell runs in the background ignore SIGINT, and their processes inherit
+            // that.
+            "env",
+            "--default-signal=INT,HUP",
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx64m",
             "-Xss256k",
