Count and log unexpected responses and repeated calls of a target

A response that is skipped, bytes on an idle connection and bytes that follow a response were neither counted nor logged, and nothing showed that a call id reached a target a second time.

Change: ClientConnection reports unexpected responses to a listener, with their kind, the head if it can be decoded, and the bytes received. Which response is accepted, when a connection is reused and what is retried are unchanged.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -17,9 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.net.impl.NetSocketInternal;
-import java.util.ArrayList;
+import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import org.acaciapond.common.time.TimeSource;
 import org.jspecify.annotations.Nullable;
 
@@ -53,6 +52,8 @@
   private final int maxBodyBytes;
   private final BodyBudget bodyBudget;
   private final Runnable onClosed;
+  private final UnexpectedResponse.Listener onUnexpected;
+  private final ResponseDecoder decoder = new ResponseDecoder();
   private @Nullable ClientRequest request;
   private @Nullable Listener listener;
   private io.netty.handler.codec.http.@Nullable HttpResponse head;
@@ -63,6 +64,10 @@
   private boolean closed;
   private boolean requestWritten;
   private long receivedBytes;
+  private int receivedStatus;
+  // Further bytes are the rest of a response that was given up or has been reported.
+  private boolean unexpectedBytesIgnored;
+  private boolean responded;
   private boolean closeDelimitedReset;
   private long lastUsedNanos;
   private long keepAliveNanos = Long.MAX_VALUE;
@@ -77,7 +82,13 @@
    */
   public ClientConnection(
       NetSocketInternal socket, int maxBodyBytes, Runnable onClosed, TimeSource time) {
-    this(socket, maxBodyBytes, new BodyBudget(maxBodyBytes), onClosed, time);
+    this(
+        socket,
+        maxBodyBytes,
+        new BodyBudget(maxBodyBytes),
+        onClosed,
+        UnexpectedResponse.Listener.NONE,
+        time);
   }
 
   /**
@@ -87,6 +98,7 @@
    * @param maxBodyBytes maximum length of a response body
    * @param bodyBudget limit of the bytes of all response bodies of several connections
    * @param onClosed called once when the connection has closed
+   * @param onUnexpected receives responses that were not asked for
    * @param time clock
    */
   public ClientConnection(
@@ -94,25 +106,35 @@
       int maxBodyBytes,
       BodyBudget bodyBudget,
       Runnable onClosed,
+      UnexpectedResponse.Listener onUnexpected,
       TimeSource time) {
     this.socket = socket;
     this.maxBodyBytes = maxBodyBytes;
     this.bodyBudget = bodyBudget;
     this.onClosed = onClosed;
+    this.onUnexpected = onUnexpected;
     this.time = time;
     this.lastUsedNanos = time.nanoTime();
     ChannelPipeline pipeline = socket.channelHandlerContext().pipeline();
     pipeline.addBefore("handler", "received-bytes", new ReceivedBytes());
-    pipeline.addBefore(
-        "handler",
-        "decoder",
-        new HttpResponseDecoder(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES));
+    pipeline.addBefore("handler", "decoder", decoder);
     pipeline.addBefore("handler", "encoder", new HttpRequestEncoder());
     socket.messageHandler(this::onMessage);
     socket.exceptionHandler(error -> onException(error));
     socket.closeHandler(done -> onClose());
   }
 
+  /** Decoder whose bytes that have not been decoded yet can be inspected. */
+  private static final class ResponseDecoder extends HttpResponseDecoder {
+    ResponseDecoder() {
+      super(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES);
+    }
+
+    ByteBuf undecodedBytes() {
+      return internalBuffer();
+    }
+  }
+
   /**
    * Counts the bytes that arrive for one request, also those that the decoder discards. A server in
    * trouble may send bytes without end that are not a response.
@@ -121,6 +143,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
       if (message instanceof ByteBuf bytes && !accepts(bytes.readableBytes())) {
+        if (request == null) {
+          reportUnexpectedBytes(UnexpectedResponse.Kind.IDLE, bytes, time.nanoTime());
+        }
         bytes.release();
         fail(true, "more than " + maxReceivedBytes() + " bytes received");
         close();
@@ -145,6 +170,7 @@
     listener = resultListener;
     requestWritten = false;
     receivedBytes = 0;
+    receivedStatus = 0;
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -179,6 +205,16 @@
         && idleNanos < keepAliveNanos;
   }
 
+  /** Returns how many bytes were received since the last request was sent. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** Returns the status of the response to the last request; 0 if none was decoded. */
+  public int receivedStatus() {
+    return receivedStatus;
+  }
+
   /** Closes the connection; a request in flight fails. */
   public void close() {
     reusable = false;
@@ -191,6 +227,7 @@
   public void abandon() {
     listener = null;
     request = null;
+    unexpectedBytesIgnored = true;
     close();
   }
 
@@ -225,19 +262,43 @@
   }
 
   private void onHead(ClientRequest sent, io.netty.handler.codec.http.HttpResponse response) {
-    List<String> received = new ArrayList<>();
-    for (Map.Entry<String, String> header : response.headers()) {
-      received.add(header.getKey());
-      received.add(header.getValue());
-    }
+    ResponseHead received = ResponseHead.of(response);
     head = response;
-    headers = received;
+    headers = received.headers();
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    skippingResponse = informational || !sent.acceptsResponse().test(received);
+    skippingResponse = informational || !sent.acceptsResponse().test(headers);
     if (skippingResponse && !informational) {
       // A late response to an earlier request; the response to this request may still follow.
       reusable = false;
+      reportUnexpectedHead(UnexpectedResponse.Kind.OTHER_REQUEST, received);
     }
+    if (!skippingResponse) {
+      receivedStatus = received.status();
+      if (receivedBytes == 0) {
+        reportUnexpectedHead(UnexpectedResponse.Kind.BEFORE_REQUEST, received);
+      }
+    }
+  }
+
+  private void reportUnexpectedHead(UnexpectedResponse.Kind kind, ResponseHead unexpected) {
+    reportUnexpected(kind, unexpected, receivedBytes, time.nanoTime());
+  }
+
+  private void reportUnexpectedBytes(
+      UnexpectedResponse.Kind kind, ByteBuf bytes, long receivedNanos) {
+    if (!unexpectedBytesIgnored && bytes.isReadable()) {
+      reportUnexpected(kind, ResponseHead.decode(bytes), bytes.readableBytes(), receivedNanos);
+    }
+  }
+
+  private void reportUnexpected(
+      UnexpectedResponse.Kind kind,
+      @Nullable ResponseHead unexpected,
+      long bytes,
+      long receivedNanos) {
+    Duration sinceLastResponse = responded ? Duration.ofNanos(receivedNanos - lastUsedNanos) : null;
+    onUnexpected.unexpectedResponse(
+        new UnexpectedResponse(kind, unexpected, bytes, sinceLastResponse));
   }
 
   private void onContent(HttpContent content) {
@@ -276,6 +337,9 @@
     listener = null;
     request = null;
     lastUsedNanos = time.nanoTime();
+    responded = true;
+    reportUnexpectedBytes(
+        UnexpectedResponse.Kind.AFTER_RESPONSE, decoder.undecodedBytes(), lastUsedNanos);
     if (!reusable) {
       socket.close();
     }
@@ -320,6 +384,7 @@
 
   private void fail(boolean badResponse, String message) {
     reusable = false;
+    unexpectedBytesIgnored = true;
     final Listener resultListener = listener;
     listener = null;
     request = null;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
@@ -6,10 +6,11 @@
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.BodyBudget;
-import org.acaciapond.http.ClientConnection;
+import org.acaciapond.http.UnexpectedResponse;
 import org.acaciapond.mesh.platform.SocketAddressSetting;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
@@ -26,14 +27,21 @@
   private final SocketAddressSetting address;
   private final NetClient client;
   private final NodeMetrics metrics;
+  private final BiConsumer<TargetConnection, UnexpectedResponse> onUnexpected;
   private final TimeSource time;
   private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
-  private final Deque<ClientConnection> idle = new ArrayDeque<>();
+  private final Deque<TargetConnection> idle = new ArrayDeque<>();
+  private long connectionCount;
 
   TargetConnections(
-      Vertx vertx, SocketAddressSetting address, NodeMetrics metrics, TimeSource time) {
+      Vertx vertx,
+      SocketAddressSetting address,
+      NodeMetrics metrics,
+      BiConsumer<TargetConnection, UnexpectedResponse> onUnexpected,
+      TimeSource time) {
     this.address = address;
     this.metrics = metrics;
+    this.onUnexpected = onUnexpected;
     this.time = time;
     this.client =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
@@ -43,10 +51,10 @@
    * Passes an idle or a new connection to {@code use}, or the error of the connection attempt to
    * {@code fail}.
    */
-  void acquire(boolean idempotent, Consumer<ClientConnection> use, Consumer<Throwable> fail) {
+  void acquire(boolean idempotent, Consumer<TargetConnection> use, Consumer<Throwable> fail) {
     long nowNanos = time.nanoTime();
     long maxIdleNanos = idempotent ? MAX_IDLE_NANOS : MAX_NON_IDEMPOTENT_IDLE_NANOS;
-    ClientConnection reusable = idle.peekLast();
+    TargetConnection reusable = idle.peekLast();
     if (reusable != null) {
       if (reusable.isUsable(nowNanos, maxIdleNanos)) {
         idle.removeLast();
@@ -63,11 +71,12 @@
             socket -> {
               metrics.countTargetConnection("ok");
               use.accept(
-                  new ClientConnection(
+                  new TargetConnection(
                       (NetSocketInternal) socket,
+                      ++connectionCount,
                       MAX_RESPONSE_BYTES,
                       responseBudget,
-                      () -> {},
+                      onUnexpected,
                       time));
             })
         .onFailure(
@@ -78,7 +87,7 @@
   }
 
   /** Returns a connection to the pool after its request has ended, or closes it if unusable. */
-  void release(ClientConnection connection) {
+  void release(TargetConnection connection) {
     if (connection.isUsable(time.nanoTime(), MAX_IDLE_NANOS)) {
       idle.addLast(connection);
     } else {
@@ -96,7 +105,7 @@
 
   /** Closes all idle connections. */
   void closeIdle() {
-    idle.forEach(ClientConnection::close);
+    idle.forEach(TargetConnection::close);
     idle.clear();
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -5,12 +5,14 @@
 import org.acaciapond.http.ClientRequest;
 import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.http.ResponseHead;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.target.TargetLoad;
+import org.jspecify.annotations.Nullable;
 
 /** Builder of requests to a target and classifier of its responses. */
 final class TargetExchange {
@@ -55,6 +57,11 @@
     headers.add(value);
   }
 
+  /** Returns the call id that the target returned, or null. */
+  @Nullable String returnedId(ResponseHead head) {
+    return HttpMessage.header(head.headers(), headerNames.callId());
+  }
+
   private boolean matchesCall(MeshCall call, List<String> response) {
     String id = HttpMessage.header(response, headerNames.callId());
     if (id != null) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -44,6 +44,7 @@
   private final AdmissionQueue<GatewayCall> queue = new AdmissionQueue<>(health.serviceTimes());
   private final TargetConnections connections;
   private final TargetExchange exchange;
+  private final TargetDiagnostics diagnostics;
   private Consumer<TargetStatus> statusListener = status -> {};
   private boolean nodeLeaving;
   private boolean admissionStarted;
@@ -55,7 +56,8 @@
     private final Consumer<MeshResponse> handler;
     private final long deadlineNanos;
     private final boolean idempotent;
-    private @Nullable ClientConnection connection;
+    private @Nullable TargetConnection connection;
+    private @Nullable CallRun run;
     private long sentNanos;
     private boolean running;
     private boolean ended;
@@ -78,7 +80,7 @@
         complete(MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.CANCELLED, 0, load()));
         return;
       }
-      ClientConnection used = connection;
+      TargetConnection used = connection;
       if (used != null) {
         used.abandon();
       }
@@ -91,6 +93,10 @@
       }
       ended = true;
       vertx.cancelTimer(timer);
+      CallRun sent = run;
+      if (sent != null) {
+        diagnostics.recordEnded(call, sent, response);
+      }
       if (running) {
         running = false;
         health.recordEnded(call);
@@ -113,8 +119,11 @@
     this.metrics = metrics;
     this.time = time;
     this.service = settings.service();
-    this.connections = new TargetConnections(vertx, settings.target(), metrics, time);
     this.exchange = new TargetExchange(headerNames);
+    this.diagnostics = new TargetDiagnostics(exchange, this.log, metrics, time);
+    this.connections =
+        new TargetConnections(
+            vertx, settings.target(), metrics, diagnostics::recordUnexpected, time);
     vertx.setPeriodic(CLOSE_EXPIRED_INTERVAL_MS, id -> connections.closeExpired());
   }
 
@@ -156,6 +165,7 @@
     if (previous == null || previous.startedMs() != current.startedMs()) {
       connections.closeIdle();
       health.clear();
+      diagnostics.clear();
     }
     log.statusChanged(current, previousPhase, lifecycle.phase());
     applyStatusChange();
@@ -338,7 +348,7 @@
       call.complete(refusal(Reason.EXPIRED, 0));
       return;
     }
-    ClientConnection used = call.connection;
+    TargetConnection used = call.connection;
     if (used != null) {
       used.abandon();
     }
@@ -370,7 +380,7 @@
         });
   }
 
-  private void send(GatewayCall gatewayCall, ClientConnection connection) {
+  private void send(GatewayCall gatewayCall, TargetConnection connection) {
     long nowNanos = time.nanoTime();
     int leftMs = (int) ((gatewayCall.deadlineNanos - nowNanos) / 1_000_000);
     if (gatewayCall.ended || leftMs <= 0) {
@@ -387,24 +397,27 @@
     MeshCall call = gatewayCall.call;
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
+    gatewayCall.run = diagnostics.recordSent(call, connection);
     health.recordSent(call, nowNanos);
     connection.send(
+        call.id(),
         exchange.buildRequest(call, leftMs),
         new ClientConnection.Listener() {
           @Override
           public void responseReceived(HttpResponse response) {
             connections.release(connection);
-            onResponse(gatewayCall, response);
+            onResponse(gatewayCall, connection, response);
           }
 
           @Override
           public void requestFailed(boolean badResponse, String message) {
-            onFailure(gatewayCall, badResponse, message);
+            onFailure(gatewayCall, connection, badResponse, message);
           }
         });
   }
 
-  private void onResponse(GatewayCall gatewayCall, HttpResponse response) {
+  private void onResponse(
+      GatewayCall gatewayCall, TargetConnection connection, HttpResponse response) {
     long serviceNanos = time.nanoTime() - gatewayCall.sentNanos;
     MeshCall call = gatewayCall.call;
     switch (exchange.classify(response)) {
@@ -418,7 +431,7 @@
       }
       case INVALID -> {
         health.recordFailure();
-        log.badResponse(call, response.status());
+        log.badResponse(call, connection, response.status());
         gatewayCall.complete(
             MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, load()));
       }
@@ -435,14 +448,15 @@
     }
   }
 
-  private void onFailure(GatewayCall gatewayCall, boolean badResponse, String message) {
+  private void onFailure(
+      GatewayCall gatewayCall, TargetConnection connection, boolean badResponse, String message) {
     if (gatewayCall.ended) {
       return;
     }
     health.recordFailure();
     long elapsedNanos = time.nanoTime() - gatewayCall.sentNanos;
     metrics.recordTargetTime("broken", elapsedNanos);
-    log.callBroken(gatewayCall.call, elapsedNanos, badResponse, message);
+    log.callBroken(gatewayCall.call, connection, elapsedNanos, badResponse, message);
     gatewayCall.complete(
         MeshResponse.withoutAnswer(
             Outcome.UNKNOWN, badResponse ? Reason.BAD_ANSWER : Reason.BROKEN, 0, load()));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
@@ -1,5 +1,8 @@
 package org.acaciapond.sidecar.target;
 
+import java.time.Duration;
+import org.acaciapond.http.ResponseHead;
+import org.acaciapond.http.UnexpectedResponse;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.target.CheckIn;
 import org.acaciapond.mesh.target.TargetPhase;
@@ -57,11 +60,25 @@
     log.request("target_refused", "id", call.id(), "status", status);
   }
 
-  void badResponse(MeshCall call, int status) {
-    log.request("bad_answer", "id", call.id(), "status", status);
+  void badResponse(MeshCall call, TargetConnection connection, int status) {
+    log.request(
+        "bad_answer",
+        "id",
+        call.id(),
+        "status",
+        status,
+        "received_bytes",
+        connection.receivedBytes(),
+        "connection",
+        connection.number());
   }
 
-  void callBroken(MeshCall call, long elapsedNanos, boolean badResponse, String message) {
+  void callBroken(
+      MeshCall call,
+      TargetConnection connection,
+      long elapsedNanos,
+      boolean badResponse,
+      String message) {
     log.request(
         "target_broke",
         "id",
@@ -71,6 +88,80 @@
         "bad_answer",
         badResponse,
         "error",
-        message);
+        message,
+        "status",
+        connection.receivedStatus(),
+        "received_bytes",
+        connection.receivedBytes(),
+        "connection",
+        connection.number());
+  }
+
+  void unexpectedResponse(
+      TargetConnection connection, UnexpectedResponse response, String returnedId) {
+    ResponseHead head = response.head();
+    Duration sinceLastResponse = response.sinceLastResponse();
+    log.request(
+        "unexpected_response",
+        "kind",
+        response.kind(),
+        "id",
+        connection.lastCallId(),
+        "previous_id",
+        connection.previousCallId(),
+        "returned_id",
+        returnedId,
+        "status",
+        head == null ? 0 : head.status(),
+        "received_bytes",
+        response.receivedBytes(),
+        "since_answer_ms",
+        sinceLastResponse == null ? -1 : sinceLastResponse.toMillis(),
+        "connection",
+        connection.number());
+  }
+
+  void callRepeated(MeshCall call, CallRun run, CallRun previous) {
+    log.request(
+        "call_repeated",
+        "id",
+        call.id(),
+        "route",
+        call.route(),
+        "run",
+        run.number(),
+        "previous_outcome",
+        previous.outcomeName(),
+        "previous_reason",
+        previous.reason(),
+        "previous_status",
+        previous.status(),
+        "after_ms",
+        (run.sentNanos() - previous.sentNanos()) / 1_000_000,
+        "same_connection",
+        run.connectionNumber() == previous.connectionNumber(),
+        "connection",
+        run.connectionNumber());
+  }
+
+  void repeatedCallEnded(MeshCall call, CallRun run, long elapsedNanos) {
+    log.request(
+        "repeated_call_ended",
+        "id",
+        call.id(),
+        "route",
+        call.route(),
+        "run",
+        run.number(),
+        "outcome",
+        run.outcomeName(),
+        "reason",
+        run.reason(),
+        "status",
+        run.status(),
+        "after_ms",
+        elapsedNanos / 1_000_000,
+        "connection",
+        run.connectionNumber());
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -8,6 +8,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
+import org.acaciapond.http.UnexpectedResponse;
 
 /** Prometheus metrics of a node. */
 public final class NodeMetrics {
@@ -23,6 +25,8 @@
   private final Counter storeCalls;
   private final Counter checkIns;
   private final Counter connections;
+  private final Counter unexpectedResponses;
+  private final Counter repeatedCalls;
   private final Counter stateBytesSent;
   private final Histogram requestSeconds;
   private final Histogram targetSeconds;
@@ -47,6 +51,16 @@
     connections =
         registerCounter(
             "acaciapond_target_connections_total", "New connections to the target.", "result");
+    unexpectedResponses =
+        registerCounter(
+            "acaciapond_unexpected_responses_total",
+            "Responses and other bytes of the target that were not asked for.",
+            "kind");
+    repeatedCalls =
+        registerCounter(
+            "acaciapond_repeated_calls_total",
+            "Calls sent to the target whose id had been sent to it before.",
+            "connection");
     stateBytesSent =
         registerCounter(
             "acaciapond_state_bytes_sent_total", "Bytes of operator rows sent to other nodes.");
@@ -122,6 +136,16 @@
     connections.labelValues(result).inc();
   }
 
+  /** Counts a response, or other bytes, that the target sent without having been asked. */
+  public void countUnexpectedResponse(UnexpectedResponse.Kind kind) {
+    unexpectedResponses.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
+  }
+
+  /** Counts a call whose id was sent to the target before, on the same connection or not. */
+  public void countRepeatedCall(boolean sameConnection) {
+    repeatedCalls.labelValues(sameConnection ? "same" : "other").inc();
+  }
+
   /** Records how long a call ran in the target. */
   public void recordTargetTime(String end, long nanos) {
     targetSeconds.labelValues(end).observe(nanos / 1e9);
