Test calls to a target that sends bytes after a response

Cause: no test covered bytes that a target sends after a response and that the decoder keeps or reads as the start of the next response on the connection.

ClientConnectionTest checks that a connection is not reused after a part of a response.

--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ClientConnectionTest {
 
@@ -133,6 +134,13 @@
     assertEquals(new End("ok", false), exchange(both, false, false));
   }
 
+  /** Guards against a next response whose start is what followed the response before it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"H", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "nonsense", "\r\n"})
+  void partOfResponseAfterResponseMakesConnectionUnusable(String part) throws Exception {
+    assertEquals(new End("ok", false), exchange(response("mine", "ok") + part, false, false));
+  }
+
   @Test
   void truncatedBodyIsBadResponse() throws Exception {
     String cut = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 10\r\n\r\nabc";
