--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/ScriptedTarget.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/ScriptedTarget.java
@@ -1,88 +1,100 @@
 package org.acaciapond.sidecar.target;
 
-import java.io.BufferedReader;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.function.Function;
+import java.util.concurrent.Executor;
 
-/** Test fixture: target on loopback that answers a call id with any bytes, also none. */
+/** Target on plain sockets that writes the bytes of a script for each request without a body. */
 final class ScriptedTarget implements AutoCloseable {
 
-  private static final String ID_HEADER = "x-attempt-id: ";
+  private static final int BACKLOG = 10;
+  private static final String HEAD_END = "\r\n\r\n";
 
-  private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-  private final ExecutorService threads = Executors.newCachedThreadPool();
+  /** Writes the bytes for one request. */
+  interface Script {
+    /**
+     * Writes the response and closes the connection by throwing an {@link IOException}.
+     *
+     * @param arrival number of the request at this target, from 1
+     * @param numberOnConnection number of the request on its connection, from 1
+     */
+    void respond(int arrival, int numberOnConnection, OutputStream out)
+        throws IOException, InterruptedException;
+  }
+
+  private final ServerSocket server;
+  private final Executor executor;
+  private final Script script;
+  private final List<String> requestHeads = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
-  private volatile Function<String, String> answer = id -> response(id, 200);
 
-  ScriptedTarget() throws IOException {
-    threads.execute(this::acceptAll);
+  ScriptedTarget(Executor executor, Script script) throws IOException {
+    this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    this.executor = executor;
+    this.script = script;
+    executor.execute(this::acceptConnections);
   }
 
   int port() {
     return server.getLocalPort();
   }
 
-  /** Sets the bytes that are written for a call id. */
-  void setAnswer(Function<String, String> next) {
-    answer = next;
-  }
-
-  /** Returns a complete response with a signature and a body of two bytes. */
-  static String response(String id, int status) {
-    return "HTTP/1.1 "
-        + status
-        + " Status\r\nX-Attempt-Id: "
-        + id
-        + "\r\nX-Server-Signature: signed\r\nContent-Length: 2\r\n\r\nok";
-  }
-
-  /** Writes bytes that nobody asked for to the newest connection. */
-  void writeUnasked(String bytes) throws IOException {
-    write(sockets.get(sockets.size() - 1), bytes);
+  /** Returns how many requests have arrived. */
+  int arrivals() {
+    return requestHeads.size();
   }
 
-  private static void write(Socket socket, String bytes) throws IOException {
-    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private void acceptAll() {
+  private void acceptConnections() {
     try {
       while (true) {
         Socket socket = server.accept();
+        socket.setTcpNoDelay(true);
         sockets.add(socket);
-        threads.execute(() -> serve(socket));
+        executor.execute(() -> serve(socket));
       }
     } catch (IOException e) {
-      // The server has been closed.
+      // The target was closed.
     }
   }
 
   private void serve(Socket socket) {
     try (socket) {
-      BufferedReader reader =
-          new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      String id = "";
-      for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-        if (line.toLowerCase(Locale.ROOT).startsWith(ID_HEADER)) {
-          id = line.substring(ID_HEADER.length());
-        } else if (line.isEmpty()) {
-          write(socket, answer.apply(id));
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      for (int number = 1; ; number++) {
+        String head = readHead(in);
+        int arrival;
+        synchronized (requestHeads) {
+          requestHeads.add(head);
+          arrival = requestHeads.size();
         }
+        script.respond(arrival, number, socket.getOutputStream());
       }
     } catch (IOException e) {
-      // The node has closed the connection.
+      // The connection was closed by the script or by the node.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String readHead(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.ISO_8859_1).endsWith(HEAD_END)) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("connection closed");
+      }
+      head.write(next);
     }
+    return head.toString(StandardCharsets.ISO_8859_1);
   }
 
   @Override
@@ -91,6 +103,5 @@
     for (Socket socket : sockets) {
       socket.close();
     }
-    threads.shutdownNow();
   }
 }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetDiagnosticsTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetDiagnosticsTest.java
@@ -47,13 +47,13 @@
       new EventLog(
           "n1", new PrintStream(lines, false, StandardCharsets.UTF_8), TimeSource.system());
   private final NodeMetrics metrics = new NodeMetrics();
-  private ScriptedTarget target;
+  private StubTarget target;
   private TargetGateway gateway;
 
   @BeforeEach
   void start() throws Exception {
     log.start().await().atMost(WAIT);
-    target = new ScriptedTarget();
+    target = new StubTarget();
     SidecarSettings settings =
         new SidecarSettings(
             "n1",
@@ -172,7 +172,7 @@
   void lateCopyOnIdleConnectionIsCountedAndLogged() throws Exception {
     call("a");
     call("b");
-    target.writeUnasked(ScriptedTarget.response("a", 200));
+    target.writeUnasked(StubTarget.response("a", 200));
     JsonObject event = awaitEvent("unexpected_response");
     assertFields(
         event, "kind", "IDLE", "id", "b", "previous_id", "a", "returned_id", "a", "status", 200);
@@ -184,7 +184,7 @@
 
   @Test
   void skippedResponseOfAnotherCallIsCountedAndLogged() throws Exception {
-    target.setAnswer(id -> ScriptedTarget.response("z", 500) + ScriptedTarget.response(id, 200));
+    target.setAnswer(id -> StubTarget.response("z", 500) + StubTarget.response(id, 200));
     assertEquals(200, call("a").status());
     assertFields(
         awaitEvent("unexpected_response"),
@@ -205,7 +205,7 @@
 
   @Test
   void copyInTheSameReadIsCountedAndLogged() throws Exception {
-    target.setAnswer(id -> ScriptedTarget.response(id, 200).repeat(2));
+    target.setAnswer(id -> StubTarget.response(id, 200).repeat(2));
     assertEquals(200, call("a").status());
     assertFields(
         awaitEvent("unexpected_response"),
@@ -222,9 +222,9 @@
 
   @Test
   void repeatedCallNamesTheFirstRunAndItsConnection() throws Exception {
-    target.setAnswer(id -> ScriptedTarget.response(id, 500));
+    target.setAnswer(id -> StubTarget.response(id, 500));
     assertEquals(500, call("a").status());
-    target.setAnswer(id -> ScriptedTarget.response(id, 200));
+    target.setAnswer(id -> StubTarget.response(id, 200));
     assertEquals(200, call("a").status());
     assertFields(
         awaitEvent("call_repeated"),
@@ -252,7 +252,7 @@
     target.setAnswer(id -> "");
     CompletableFuture<MeshResponse> expired = submit("a", SHORT_CALL_LEFT_MS);
     assertEquals(Reason.EXPIRED, expired.get(WAIT.toSeconds(), TimeUnit.SECONDS).reason());
-    target.setAnswer(id -> ScriptedTarget.response(id, 200));
+    target.setAnswer(id -> StubTarget.response(id, 200));
     assertEquals(200, call("a").status());
     assertFields(
         awaitEvent("call_repeated"),
