--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -158,6 +158,13 @@
     assertEquals("bad", exchange(open, false, true).result());
   }
 
+  /** Only the chunked encoding has an end of its own. */
+  @Test
+  void resetResponseWithIdentityEncodingIsBadResponse() throws Exception {
+    String open = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: identity\r\n\r\nabc";
+    assertEquals("bad", exchange(open, false, true).result());
+  }
+
   @Test
   void closeWithoutResponseIsNotBadResponse() throws Exception {
     assertEquals("gone", exchange("", true, false).result());
