Show calls that get another response than their target gave to them

A signed failure becomes a success after a copy of the last response that is cut, also when the connection was idle in between. A late copy of the first response passes for the response to a second run under the same id, also with another call in between. Bytes after a response fail the next call, a copy of a refusal without an id reports a call that ran as not run, and a connection on which a target in trouble answered is used again.

--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetAnswersTest.java
@@ -0,0 +1,261 @@
+package org.acaciapond.sidecar.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.acaciapond.adapter.JsonPlatformCodec;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.platform.SidecarSettings;
+import org.acaciapond.mesh.platform.SocketAddressSetting;
+import org.acaciapond.mesh.target.CheckIn;
+import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a call that gets another response than the one that its target gave to it. The
+ * target is a plain socket that writes a given text for each request that it reads, on whatever
+ * connection.
+ */
+class TargetAnswersTest {
+
+  private static final int WAIT_S = 10;
+  private static final int LEFT_MS = 1_500;
+  private static final String TARGET_ID = "i-1";
+  private static final String SERVICE = "orders";
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final AtomicInteger requests = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final ConcurrentHashMap<Integer, String> texts = new ConcurrentHashMap<>();
+  private ServerSocket server;
+  private TargetGateway gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    Thread acceptor = new Thread(this::acceptConnections);
+    acceptor.setDaemon(true);
+    acceptor.start();
+    CompletableFuture<Void> ready = new CompletableFuture<>();
+    vertx.runOnContext(
+        on -> {
+          gateway = newGateway();
+          gateway.startAdmission();
+          gateway.applyCheckIn(new CheckIn(TARGET_ID, 1, 1, SERVICE, "v1", 1, false, 0));
+          ready.complete(null);
+        });
+    ready.get(WAIT_S, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+    server.close();
+  }
+
+  private TargetGateway newGateway() {
+    SocketAddressSetting unused = new SocketAddressSetting("127.0.0.1", 1);
+    SidecarSettings settings =
+        new SidecarSettings(
+            "n1",
+            "z",
+            SERVICE,
+            unused,
+            unused,
+            unused,
+            unused,
+            unused,
+            new SocketAddressSetting("127.0.0.1", server.getLocalPort()),
+            unused,
+            256,
+            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50));
+    EventLog log =
+        new EventLog(
+            "n1",
+            new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8),
+            TimeSource.system());
+    return new TargetGateway(
+        vertx,
+        settings,
+        new JsonPlatformCodec(1 << 20).headers(),
+        log,
+        new NodeMetrics(),
+        TimeSource.system());
+  }
+
+  private void acceptConnections() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        connections.incrementAndGet();
+        Thread thread = new Thread(() -> serve(socket));
+        thread.setDaemon(true);
+        thread.start();
+      }
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
+
+  private void serve(Socket socket) {
+    byte[] buffer = new byte[8_192];
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      while (socket.getInputStream().read(buffer) > 0) {
+        String text = texts.getOrDefault(requests.getAndIncrement(), "");
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      }
+    } catch (IOException e) {
+      // The gateway has closed the connection.
+    }
+  }
+
+  private static String response(int status, String id, String body) {
+    return "HTTP/1.1 "
+        + status
+        + " Reason\r\nX-Attempt-Id: "
+        + id
+        + "\r\nX-Server-Signature: sig-"
+        + id
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private static String notRun() {
+    return "HTTP/1.1 503 Reason\r\nX-Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  private static MeshCall call(String id) {
+    return new MeshCall(
+        id,
+        "GET",
+        "/views/1",
+        List.of("Host", "a"),
+        new byte[0],
+        LEFT_MS,
+        LEFT_MS,
+        1,
+        "r1",
+        "other",
+        TARGET_ID,
+        true,
+        false);
+  }
+
+  /** Submits all calls at once; the target has one slot, so that they run one after another. */
+  private List<String> submit(String... ids) throws Exception {
+    List<CompletableFuture<MeshResponse>> ends = new ArrayList<>();
+    for (String id : ids) {
+      ends.add(new CompletableFuture<>());
+    }
+    vertx.runOnContext(
+        on -> {
+          for (int i = 0; i < ids.length; i++) {
+            gateway.submit(call(ids[i]), ends.get(i)::complete);
+          }
+        });
+    List<String> results = new ArrayList<>();
+    for (CompletableFuture<MeshResponse> end : ends) {
+      results.add(describe(end.get(WAIT_S, TimeUnit.SECONDS)));
+    }
+    return results;
+  }
+
+  private static String describe(MeshResponse response) {
+    return response.outcome()
+        + " "
+        + response.status()
+        + " "
+        + new String(response.body(), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void callsInTurnGetTheirOwnResponses() throws Exception {
+    texts.put(0, response(200, "a", "ok"));
+    texts.put(1, response(500, "b", "failed"));
+    assertEquals(List.of("ANSWERED 200 ok", "ANSWERED 500 failed"), submit("a", "b"));
+  }
+
+  /** The cut copy stays in the decoder, and the signed failure is appended to it. */
+  @Test
+  void signedFailureDoesNotBecomeSuccessAfterCutCopyOfTheLastResponse() throws Exception {
+    texts.put(0, response(200, "a", "ok") + "HTTP/1.1 200 OK");
+    texts.put(1, response(500, "b", "failed"));
+    assertEquals("ANSWERED 500 failed", submit("a", "b").get(1));
+  }
+
+  /** The same if the connection was idle in between. */
+  @Test
+  void signedFailureDoesNotBecomeSuccessAfterCutCopyOnIdleConnection() throws Exception {
+    texts.put(0, response(200, "a", "ok") + "HTTP/1.1 200 OK\r\nDate: x");
+    texts.put(1, response(500, "b", "failed"));
+    submit("a");
+    Thread.sleep(200);
+    assertEquals("ANSWERED 500 failed", submit("b").get(0));
+  }
+
+  /** Bytes in the segment of the last response are no reason to fail the next call. */
+  @Test
+  void bytesAfterTheLastResponseDoNotFailTheNextCall() throws Exception {
+    texts.put(0, response(200, "a", "ok") + "nonsense\r\n\r\n");
+    texts.put(1, response(200, "b", "fine"));
+    assertEquals("ANSWERED 200 fine", submit("a", "b").get(1));
+  }
+
+  /** A parent that runs again makes its nested calls again, under the same ids. */
+  @Test
+  void lateCopyIsNotTheResponseToTheSecondRunUnderTheSameId() throws Exception {
+    texts.put(0, response(200, "p.1", "first"));
+    texts.put(1, response(200, "p.1", "first") + response(500, "p.1", "second"));
+    assertNotEquals("ANSWERED 200 first", submit("p.1", "p.1").get(1));
+  }
+
+  /** The same with another call in between on the connection. */
+  @Test
+  void laterCopyIsNotTheResponseToTheSecondRunUnderTheSameId() throws Exception {
+    texts.put(0, response(200, "p.1", "first"));
+    texts.put(1, response(200, "q.1", "other"));
+    texts.put(2, response(200, "p.1", "first") + response(500, "p.1", "second"));
+    assertNotEquals("ANSWERED 200 first", submit("p.1", "q.1", "p.1").get(2));
+  }
+
+  /** Otherwise a call that ran would be reported as not run and sent to another target. */
+  @Test
+  void copyOfRefusalWithoutIdDoesNotRefuseTheNextCall() throws Exception {
+    texts.put(0, notRun());
+    texts.put(1, notRun() + response(200, "b", "ran"));
+    assertNotEquals("NOT_RUN 0 ", submit("a", "b").get(1));
+  }
+
+  /** A target in trouble has sent what is not its response; more of it may follow. */
+  @Test
+  void connectionOfAnUnsignedSuccessIsNotUsedAgain() throws Exception {
+    texts.put(0, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 1\r\n\r\nx");
+    texts.put(1, response(200, "b", "fine"));
+    assertEquals("UNKNOWN 0 ", submit("a").get(0));
+    submit("b");
+    assertEquals(2, connections.get());
+  }
+}
