Report a response at the end of its read, and do not reuse a connection with bytes behind it

Callers saw a success where their target had answered a failure. Bytes behind a complete response, such as the start of a second copy of it, stayed in the decoder, and the next response on the connection was appended to them: the status line of the copy came with the id, signature and body of the next response. The response was also reported, and the next request sent, from inside the decoding of the read, so that whole bytes behind it were read as belonging to the next request, which failed 0 ms after it was sent.

A response is now reported when the read that completed it has ended. If any byte follows it, the connection is closed.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -24,7 +24,9 @@
 
 /**
  * Client side of one connection, with one request at a time. A connection that has received
- * anything but the expected response is never reused.
+ * anything but the expected response is never reused. A response is reported at the end of the read
+ * that completed it, because bytes that follow it would otherwise be read as a part of the next
+ * response.
  */
 public final class ClientConnection {
 
@@ -58,6 +60,8 @@
   private @Nullable Listener listener;
   private io.netty.handler.codec.http.@Nullable HttpResponse head;
   private List<String> headers = List.of();
+  // Complete response that is reported at the end of the current read.
+  private @Nullable HttpResponse completed;
   private final BodyBuffer body = new BodyBuffer();
   private boolean skippingResponse;
   private boolean reusable = true;
@@ -143,23 +147,44 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
       if (message instanceof ByteBuf bytes && !accepts(bytes.readableBytes())) {
-        if (request == null) {
-          reportUnexpectedBytes(UnexpectedResponse.Kind.IDLE, bytes, time.nanoTime());
-        }
+        onUnacceptedBytes(bytes);
         bytes.release();
-        fail(true, "more than " + maxReceivedBytes() + " bytes received");
-        close();
       } else {
         super.channelRead(context, message);
       }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+      super.channelReadComplete(context);
+      reportCompleted();
+    }
+
     private boolean accepts(int count) {
       receivedBytes += count;
       return request != null && receivedBytes <= maxReceivedBytes();
     }
   }
 
+  private void onUnacceptedBytes(ByteBuf bytes) {
+    if (completed != null) {
+      onBytesAfterResponse(bytes);
+      return;
+    }
+    if (request == null) {
+      reportUnexpectedBytes(UnexpectedResponse.Kind.IDLE, bytes, time.nanoTime());
+    }
+    fail(true, "more than " + maxReceivedBytes() + " bytes received");
+    close();
+  }
+
+  private void onBytesAfterResponse(ByteBuf bytes) {
+    if (bytes.isReadable()) {
+      reusable = false;
+      reportUnexpectedBytes(UnexpectedResponse.Kind.AFTER_RESPONSE, bytes, lastUsedNanos);
+    }
+  }
+
   private long maxReceivedBytes() {
     return (long) maxBodyBytes * MAX_RESPONSES_PER_REQUEST + MAX_HEADER_BYTES;
   }
@@ -201,6 +226,7 @@
     return reusable
         && !closed
         && request == null
+        && completed == null
         && idleNanos < maxIdleNanos
         && idleNanos < keepAliveNanos;
   }
@@ -242,6 +268,10 @@
   }
 
   private void onObject(HttpObject object) {
+    if (completed != null) {
+      // Decoded from bytes after the response, which have been reported.
+      return;
+    }
     if (object.decoderResult().isFailure()) {
       fail(true, "response cannot be decoded");
       close();
@@ -274,9 +304,6 @@
     }
     if (!skippingResponse) {
       receivedStatus = received.status();
-      if (receivedBytes == 0) {
-        reportUnexpectedHead(UnexpectedResponse.Kind.BEFORE_REQUEST, received);
-      }
     }
   }
 
@@ -332,16 +359,23 @@
     }
     readConnectionHeaders(ended, lengthKnown);
     bodyBudget.release(body.size());
-    HttpResponse response = new HttpResponse(ended.status().code(), headers, body.take());
-    final Listener resultListener = listener;
-    listener = null;
+    completed = new HttpResponse(ended.status().code(), headers, body.take());
     request = null;
     lastUsedNanos = time.nanoTime();
     responded = true;
-    reportUnexpectedBytes(
-        UnexpectedResponse.Kind.AFTER_RESPONSE, decoder.undecodedBytes(), lastUsedNanos);
+    onBytesAfterResponse(decoder.undecodedBytes());
+  }
+
+  private void reportCompleted() {
+    HttpResponse response = completed;
+    if (response == null) {
+      return;
+    }
+    completed = null;
+    final Listener resultListener = listener;
+    listener = null;
     if (!reusable) {
-      socket.close();
+      close();
     }
     if (resultListener != null) {
       resultListener.responseReceived(response);
@@ -385,6 +419,9 @@
   private void fail(boolean badResponse, String message) {
     reusable = false;
     unexpectedBytesIgnored = true;
+    if (completed != null) {
+      return;
+    }
     final Listener resultListener = listener;
     listener = null;
     request = null;
@@ -403,6 +440,7 @@
   private void onClose() {
     boolean incomplete = head != null && !skippingResponse;
     closed = true;
+    reportCompleted();
     onClosed.run();
     fail(incomplete, incomplete ? "response is incomplete" : "connection closed without an answer");
   }
--- a/acaciapond-http/src/main/java/org/acaciapond/http/UnexpectedResponse.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/UnexpectedResponse.java
@@ -8,8 +8,8 @@
  *
  * @param kind when the bytes were received
  * @param head status and headers; null if they could not be decoded
- * @param receivedBytes for a request in flight, the bytes received since it was sent, where 0 means
- *     that the response had been read before; otherwise the number of unexpected bytes
+ * @param receivedBytes for a request in flight, the bytes received since it was sent; otherwise the
+ *     number of unexpected bytes
  * @param sinceLastResponse time since the last expected response on the connection was complete;
  *     null if there was none
  */
@@ -23,8 +23,6 @@
   public enum Kind {
     /** A response that does not belong to the request in flight and is skipped. */
     OTHER_REQUEST,
-    /** A response that is accepted although it had been read before its request was sent. */
-    BEFORE_REQUEST,
     /** Bytes that follow a complete response in the same read. */
     AFTER_RESPONSE,
     /** Bytes on a connection without a request in flight. */
