Reject heads in which the status line of another response begins

A target that sends a part of a second answer while the next call is in flight, and then the answer to that call, was read as one response: the status of the first with the id, signature and body of the second. A failure became a success, or the reverse. After an earlier response on the connection, a head with a status line inside its reason or a header is now a bad response.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -293,6 +293,12 @@
 
   private void onHead(ClientRequest sent, io.netty.handler.codec.http.HttpResponse response) {
     ResponseHead received = ResponseHead.of(response);
+    // Only after an earlier response can a cut copy of it precede the expected response.
+    if (responded && JoinedHead.matches(response)) {
+      fail(true, "head contains the start of another response");
+      close();
+      return;
+    }
     head = response;
     headers = received.headers();
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
