Reject responses that bear the id or the signature of two responses

A head that is joined from parts of two responses passed if its first id was the expected one, and its caller got the status of one response with the signature of another. Such a response is invalid now: it fails its call and closes the connection. responseWithHeadersOfTwoResponsesIsInvalid failed before in 3 of 3 cases.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
@@ -23,6 +23,17 @@
     return null;
   }
 
+  /** Returns how many times a header occurs. */
+  public static int count(List<String> headers, String name) {
+    int found = 0;
+    for (int i = 0; i + 1 < headers.size(); i += 2) {
+      if (headers.get(i).equalsIgnoreCase(name)) {
+        found++;
+      }
+    }
+    return found;
+  }
+
   /** Returns the headers without hop-by-hop headers and without those with the given names. */
   public static List<String> endToEnd(List<String> headers, List<String> excluded) {
     List<String> kept = new ArrayList<>(headers.size());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -28,7 +28,10 @@
     VALID,
     /** The target states that it did not run the request. */
     NOT_RUN,
-    /** Not the target's own response: an unsigned success, or a body with a content encoding. */
+    /**
+     * Not the target's own response: an unsigned success, a body with a content encoding, or a head
+     * with several signatures or ids.
+     */
     INVALID
   }
 
@@ -83,13 +86,18 @@
   }
 
   ResponseKind classify(HttpResponse response) {
-    if (HttpMessage.header(response.headers(), headerNames.notRun()) != null
+    List<String> headers = response.headers();
+    int signatures = HttpMessage.count(headers, headerNames.signature());
+    if (signatures > 1 || HttpMessage.count(headers, headerNames.callId()) > 1) {
+      // Parts of the heads of several responses.
+      return ResponseKind.INVALID;
+    }
+    if (HttpMessage.header(headers, headerNames.notRun()) != null
         || response.status() == STATUS_MISDIRECTED_REQUEST) {
       return ResponseKind.NOT_RUN;
     }
-    boolean signed = HttpMessage.header(response.headers(), headerNames.signature()) != null;
-    boolean encoded = HttpMessage.header(response.headers(), "content-encoding") != null;
-    return encoded || (response.status() < 300 && !signed)
+    boolean encoded = HttpMessage.header(headers, "content-encoding") != null;
+    return encoded || (response.status() < 300 && signatures == 0)
         ? ResponseKind.INVALID
         : ResponseKind.VALID;
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetAnswersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetAnswersTest.java
@@ -29,6 +29,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a call that gets another response than the one that its target gave to it. The
@@ -255,6 +257,19 @@
     assertEquals("ANSWERED 200 ran", submit("a", "b").get(1));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X-Attempt-Id: a~X-Server-Signature: s1~X-Server-Signature: s2",
+        "X-Attempt-Id: a~X-Server-Signature: s1~X-Server-Signature: s2~X-Not-Executed: full",
+        "X-Attempt-Id: a~X-Attempt-Id: b~X-Server-Signature: s1"
+      })
+  void responseWithHeadersOfTwoResponsesIsInvalid(String lines) throws Exception {
+    String headers = lines.replace("~", "\r\n");
+    texts.put(0, "HTTP/1.1 200 OK\r\n" + headers + "\r\nContent-Length: 1\r\n\r\nx");
+    assertEquals("UNKNOWN 0 ", submit("a").get(0));
+  }
+
   /** A target in trouble has sent what is not its response; more of it may follow. */
   @Test
   void connectionOfAnUnsignedSuccessIsNotUsedAgain() throws Exception {
