--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -444,10 +444,10 @@
   }
 
   private void onClose() {
-    boolean incomplete = head != null && !skippingResponse;
     closed = true;
     reportCompleted();
     onClosed.run();
+    boolean incomplete = head != null && !skippingResponse;
     fail(incomplete, incomplete ? "response is incomplete" : "connection closed without an answer");
   }
 }
