--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestDeployment.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestDeployment.java
@@ -20,6 +20,7 @@
   public final StandInStore store;
 
   private final List<TestMachine> machines = new ArrayList<>();
+  private final List<TestNode> nodes = new ArrayList<>();
 
   /** Starts the store. */
   public TestDeployment() {
@@ -34,14 +35,22 @@
     return machine;
   }
 
+  /** Starts a node beside a target of the test's own. */
+  public TestNode startNode(String key, String service, int targetPort) {
+    TestNode node = new TestNode(key, service, targetPort, store.port());
+    nodes.add(node);
+    return node;
+  }
+
   /** Returns all machines. */
   public List<TestMachine> machines() {
     return machines;
   }
 
-  /** Stops all machines and the store. */
+  /** Stops all machines, nodes and the store. */
   public void close() {
     machines.forEach(TestMachine::close);
+    nodes.forEach(TestNode::close);
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 }
