Fail a request at once when a response to another request has no length

Such a response takes all that follows it, also the response to the request in flight, which then waited until its deadline. The end of the response cannot be known, so that the request fails at once and can be tried elsewhere. responseToOtherRequestWithoutLengthFailsRequestAtOnce failed before in both cases, each after 10 s.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -300,20 +300,40 @@
       close();
       return;
     }
-    head = response;
-    headers = received.headers();
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    skippingResponse = informational || !sent.acceptsResponse().test(headers);
-    if (skippingResponse && !informational) {
-      // A late response to an earlier request; the response to this request may still follow.
-      reusable = false;
-      reportUnexpectedHead(UnexpectedResponse.Kind.OTHER_REQUEST, received);
+    boolean expected = sent.acceptsResponse().test(received.headers());
+    if (!informational && !expected && !trySkip(response, received)) {
+      return;
     }
+    head = response;
+    headers = received.headers();
+    skippingResponse = informational || !expected;
     if (!skippingResponse) {
       receivedStatus = received.status();
     }
   }
 
+  // Skips a late response to an earlier request; the response to this request may still follow.
+  private boolean trySkip(
+      io.netty.handler.codec.http.HttpResponse response, ResponseHead received) {
+    reusable = false;
+    reportUnexpectedHead(UnexpectedResponse.Kind.OTHER_REQUEST, received);
+    boolean endKnown = isEndKnown(response);
+    if (!endKnown) {
+      fail(true, "response to another request has no length");
+      close();
+    }
+    return endKnown;
+  }
+
+  private static boolean isEndKnown(io.netty.handler.codec.http.HttpResponse response) {
+    int status = response.status().code();
+    return response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        || HttpUtil.isTransferEncodingChunked(response)
+        || status == 204
+        || status == 304;
+  }
+
   private void reportUnexpectedHead(UnexpectedResponse.Kind kind, ResponseHead unexpected) {
     reportUnexpected(kind, unexpected, receivedBytes, time.nanoTime());
   }
@@ -357,14 +377,12 @@
       skippingResponse = false;
       return;
     }
-    boolean lengthKnown =
-        ended.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || HttpUtil.isTransferEncodingChunked(ended);
-    if (!lengthKnown && closeDelimitedReset) {
+    boolean endKnown = isEndKnown(ended);
+    if (!endKnown && closeDelimitedReset) {
       fail(true, "connection was reset during a response without a length");
       return;
     }
-    readConnectionHeaders(ended, lengthKnown);
+    readConnectionHeaders(ended, endKnown);
     bodyBudget.release(body.size());
     completed = new HttpResponse(ended.status().code(), headers, body.take());
     request = null;
@@ -390,12 +408,9 @@
   }
 
   private void readConnectionHeaders(
-      io.netty.handler.codec.http.HttpResponse ended, boolean lengthKnown) {
-    if (!lengthKnown && ended.status().code() != 204 && ended.status().code() != 304) {
-      reusable = false;
-    }
-    if (!requestWritten) {
-      // A part of the request body has not been written yet.
+      io.netty.handler.codec.http.HttpResponse ended, boolean endKnown) {
+    if (!endKnown || !requestWritten) {
+      // The server still sends, or a part of the request body has not been written yet.
       reusable = false;
     }
     if (!HttpUtil.isKeepAlive(ended)) {
