Match responses of the target of a stand-alone node with their requests

A caller received the response to an earlier call, and a failure came back as a success: the target had sent a response a second time, and the connection was in use for the next request by then.

Cause: the node reused connections to its target, and nothing in a response named its request. The call id does not help: targets pass it on, but return it nowhere, and all calls of a chain share it. The same happened with a copy that was cut within its head, which joined with the next response.

The node now sends x-acaciapond-exchange-id, and reuses a connection only while every response of the target has returned it. A response with another id, or with a status line inside its head, ends the call with 502 and unknown, closes the connection and is counted. A target that omits the id gets a connection for each call, announced by `Connection: close` in the request, so that no pool can hand the connection to another call. The cost falls on targets that do not return the id: one connection on loopback per call. It has not been measured.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/ChainScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/ChainScenario.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.acaciapond.bench.target.ExchangeId;
 import org.acaciapond.config.model.LimitsConfig;
 import org.acaciapond.config.model.MeshConfig;
 import org.acaciapond.config.model.RouteConfig;
@@ -128,6 +129,7 @@
 
   private static void forward(
       HttpClient client, int port, String nextService, HttpServerRequest request) {
+    ExchangeId.addToResponse(request);
     client
         .request(
             new RequestOptions()
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/EchoTarget.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/EchoTarget.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.LongAdder;
+import org.acaciapond.bench.target.ExchangeId;
 
 /** Target that echoes the path and body of each call and counts calls that it received again. */
 final class EchoTarget {
@@ -37,6 +38,7 @@
     if (!seenUris.add(request.uri())) {
       duplicates.increment();
     }
+    ExchangeId.addToResponse(request);
     request.bodyHandler(body -> request.response().end(responseBody(request.uri(), body)));
   }
 
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/OverloadScenario.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import org.acaciapond.bench.target.ExchangeId;
 import org.acaciapond.config.model.LimitsConfig;
 import org.acaciapond.config.model.MeshConfig;
 import org.acaciapond.config.model.RouteConfig;
@@ -171,6 +172,7 @@
 
     private void onRequest(HttpServerRequest request) {
       executed.add(request.uri());
+      ExchangeId.addToResponse(request);
       request.response().exceptionHandler(error -> {});
       if (running < SLOTS) {
         process(request);
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/SilentConnectionsScenario.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/calls/SilentConnectionsScenario.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import org.HdrHistogram.ConcurrentHistogram;
+import org.acaciapond.bench.target.ExchangeId;
 import org.acaciapond.node.proxy.OutboundProxy;
 import org.acaciapond.node.proxy.RequestPathOptions;
 
@@ -39,6 +41,11 @@
     return new SilentConnectionsScenario(vertx).measure(seconds);
   }
 
+  private static void respond(HttpServerRequest request) {
+    ExchangeId.addToResponse(request);
+    request.response().end("ok");
+  }
+
   private JsonObject measure(int seconds) throws Exception {
     InProcessMesh mesh =
         new InProcessMesh(
@@ -47,7 +54,7 @@
     int targetPort =
         vertx
             .createHttpServer()
-            .requestHandler(request -> request.response().end("ok"))
+            .requestHandler(SilentConnectionsScenario::respond)
             .listen(0, "127.0.0.1")
             .toCompletionStage()
             .toCompletableFuture()
--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/target/TargetCommand.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/target/TargetCommand.java
@@ -52,6 +52,7 @@
 
   private static void respond(HttpServerRequest request, String version, int errorPercent) {
     boolean failed = ThreadLocalRandom.current().nextInt(100) < errorPercent;
+    ExchangeId.addToResponse(request);
     request.response().setStatusCode(failed ? STATUS_SERVER_ERROR : 200).end(version + "\n");
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundCall.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
@@ -23,17 +24,21 @@
 
   private final InboundContext context;
   private final TargetPool.Lease lease;
+  private final TargetResponses responses;
+  private final String exchangeId;
   private final String service;
   private final LocalTarget.Announcement target;
   private final Context eventLoop;
   private AdmissionController.@Nullable QueuedCall queuedCall;
   private boolean holdsSlot;
   private boolean overloaded;
+  private boolean connectionReusable;
   private long sentNanos;
 
   InboundCall(
       InboundContext context,
       TargetPool.Lease lease,
+      TargetResponses responses,
       HttpServerRequest request,
       String service,
       LocalTarget.Announcement target,
@@ -49,6 +54,8 @@
         context.tracer().start("inbound", request.headers()));
     this.context = context;
     this.lease = lease;
+    this.responses = responses;
+    this.exchangeId = responses.nextExchangeId();
     this.service = service;
     this.target = target;
     this.eventLoop = context.vertx().getOrCreateContext();
@@ -98,6 +105,11 @@
   void prepareRequest(HttpClientRequest outgoing) {
     long remainingMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(remainingNanos()));
     outgoing.putHeader(MeshHeaders.DEADLINE_MS, Long.toString(remainingMs));
+    outgoing.putHeader(MeshHeaders.EXCHANGE_ID, exchangeId);
+    connectionReusable = responses.mayReuseConnection(target);
+    if (!connectionReusable) {
+      outgoing.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+    }
   }
 
   @Override
@@ -107,6 +119,12 @@
 
   @Override
   void onResponse(HttpClientResponse response) {
+    if (!responses.accept(target, exchangeId, connectionReusable, response)) {
+      context.counters().mismatchedResponses.increment();
+      response.exceptionHandler(error -> {});
+      refuse(BAD_GATEWAY, false, "the response of the target belongs to another call");
+      return;
+    }
     int status = response.statusCode();
     overloaded = status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS;
     forward(response);
@@ -121,6 +139,7 @@
     }
     callerResponse.putHeader(MeshHeaders.VERSION, target.version());
     callerResponse.headers().remove(MeshHeaders.TARGET_TIME_US);
+    callerResponse.headers().remove(MeshHeaders.EXCHANGE_ID);
     if (context.warmup().recordCall(target)) {
       long targetTimeUs = TimeUnit.NANOSECONDS.toMicros(time.nanoTime() - sentNanos);
       callerResponse.putHeader(MeshHeaders.TARGET_TIME_US, Long.toString(targetTimeUs));
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/InboundProxy.java
@@ -154,7 +154,15 @@
     long deadline = Deadlines.read(request, route.timeoutMs(), context.time());
     long maxBodyBytes = ownService.limits().maxBodyBytes();
     TargetPool.Lease lease = pool.acquire(ownService.limits().connections());
-    new InboundCall(context, lease, request, ownService.name(), target, maxBodyBytes, deadline)
+    new InboundCall(
+            context,
+            lease,
+            pool.responses(),
+            request,
+            ownService.name(),
+            target,
+            maxBodyBytes,
+            deadline)
         .start(maxBodyBytes);
   }
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/MeshHeaders.java
@@ -9,6 +9,12 @@
   /** ID of the call. */
   public static final String CALL_ID = "x-acaciapond-call-id";
 
+  /**
+   * ID of the exchange between a node and its target on one connection. A target returns it in the
+   * response, so that the node can reuse the connection.
+   */
+  public static final String EXCHANGE_ID = "x-acaciapond-exchange-id";
+
   /** Time remaining until the deadline, in milliseconds. */
   public static final String DEADLINE_MS = "x-acaciapond-deadline-ms";
 
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/RequestPathCounters.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/RequestPathCounters.java
@@ -13,6 +13,7 @@
   final LongAdder refusedCallers = new LongAdder();
   final LongAdder refusedLeaving = new LongAdder();
   final LongAdder oversizedBodies = new LongAdder();
+  final LongAdder mismatchedResponses = new LongAdder();
 
   /** Returns the number of calls by the local target, without retries. */
   public long calls() {
@@ -53,4 +54,9 @@
   public long oversizedBodies() {
     return oversizedBodies.sum();
   }
+
+  /** Returns the number of responses of the target that belonged to another call. */
+  public long mismatchedResponses() {
+    return mismatchedResponses.sum();
+  }
 }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetPool.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetPool.java
@@ -44,6 +44,7 @@
 
   private final Vertx vertx;
   private final int eventLoops;
+  private final TargetResponses responses = new TargetResponses();
   private @Nullable Lease current;
 
   TargetPool(Vertx vertx, int eventLoops) {
@@ -51,6 +52,11 @@
     this.eventLoops = eventLoops;
   }
 
+  /** Returns the check of the responses that arrive on the connections. */
+  TargetResponses responses() {
+    return responses;
+  }
+
   /**
    * Returns the client for one call.
    *
--- a/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/NodeMetrics.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/telemetry/NodeMetrics.java
@@ -93,6 +93,10 @@
     addCounter("refused_callers", "Calls outside the permitted reach.", counters::refusedCallers);
     addCounter("refused_leaving", "Calls refused while leaving.", counters::refusedLeaving);
     addCounter("oversized_bodies", "Calls refused for their size.", counters::oversizedBodies);
+    addCounter(
+        "mismatched_responses",
+        "Responses of the own target that belonged to another call.",
+        counters::mismatchedResponses);
   }
 
   /** Adds the metrics of admission control. */
