Use a connection to the platform for one request only

A stand-alone node or the command line took a write as applied that the platform had refused, an object as stored that was not, and the value of one row for that of another.

Cause: requests were sent on pooled connections, and nothing in a response names its request. A copy of an earlier response that arrived while the next request was in flight counted as its response.

Each request now has a connection of its own, so a second response has no request that it could be taken for. Objects that are read were safe, as their digest is checked; a client of its own for them would save few connections.

--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/HttpExchange.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/HttpExchange.java
@@ -10,7 +10,11 @@
 import io.vertx.ext.web.client.WebClientOptions;
 import java.util.Map;
 
-/** Exchange of requests and responses with the platform over HTTP. */
+/**
+ * Exchange of requests and responses with the platform over HTTP. Each request has a connection of
+ * its own: responses carry nothing that names their request, so only the connection shows which
+ * request they belong to.
+ */
 final class HttpExchange implements PlatformExchange {
 
   /** Estimate of the request line without the path, and of the headers that the client adds. */
@@ -26,7 +30,9 @@
 
   HttpExchange(Vertx vertx, String ip, int port, PlatformCounters counters) {
     this.client =
-        WebClient.create(vertx, new WebClientOptions().setDefaultHost(ip).setDefaultPort(port));
+        WebClient.create(
+            vertx,
+            new WebClientOptions().setDefaultHost(ip).setDefaultPort(port).setKeepAlive(false));
     this.counters = counters;
   }
 
