Ignore messages of a connection to a node that was given up

The target of a node that had been lost got calls again although there was no connection to the node: a status from the old connection registered it anew.

Cause: closing a connection waits until its pending bytes are written, which takes long if the other node does not read. Until then messages were still processed, and the link did not look at which connection they came from.

A connection now delivers nothing after close(), and the link accepts messages of its current connection only. PeerLinkTest.messageOfConnectionThatWasLostIsIgnored failed before: the status was delivered.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -120,7 +120,7 @@
                   new PeerSocket(
                       (NetSocketInternal) opened,
                       time,
-                      (from, message) -> onMessage(message),
+                      this::onMessage,
                       this::onClose,
                       problem -> listener.onDisconnected(this, problem));
               socket = created;
@@ -151,7 +151,10 @@
     }
   }
 
-  private void onMessage(PeerMessage message) {
+  private void onMessage(PeerSocket from, PeerMessage message) {
+    if (from != socket) {
+      return;
+    }
     if (message instanceof PeerMessage.Response response) {
       MeshResponse complete = responseParts.complete(response);
       Consumer<MeshResponse> callback = calls.remove(response.callNumber());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -97,8 +97,12 @@
     return closed;
   }
 
+  /**
+   * Closes the connection once all bytes are written. Messages that arrive until then are ignored.
+   */
   void close() {
     if (!closed) {
+      closed = true;
       socket.close();
     }
   }
--- /dev/null
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -0,0 +1,151 @@
+package org.acaciapond.sidecar.peer;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.acaciapond.common.time.ManualTimeSource;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.peer.NodeRecord;
+import org.acaciapond.mesh.peer.PeerCodec;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.target.TargetLoad;
+import org.acaciapond.mesh.target.TargetPhase;
+import org.acaciapond.mesh.target.TargetStatus;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests a link to a node that is a plain socket, so that the test decides when it reads. */
+@Timeout(40)
+class PeerLinkTest {
+
+  private static final int WAIT_MS = 5_000;
+  private static final int SILENT_MS = 1_000;
+  private static final int LOST_AFTER_MS = 30_000;
+  // More than the buffers of a socket hold.
+  private static final int UNREAD_BYTES = 8 << 20;
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final Context loop = vertx.getOrCreateContext();
+  private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+  private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> disconnected = new LinkedBlockingQueue<>();
+  private final CompletableFuture<Void> connected = new CompletableFuture<>();
+  private final PeerCodec codec = new PeerCodec();
+  private ServerSocket server;
+  private Socket accepted;
+  private PeerLink link;
+
+  @BeforeEach
+  void connect() throws Exception {
+    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    NodeRecord node = new NodeRecord("n1", "127.0.0.1", server.getLocalPort(), "z", "orders", 1);
+    runOnLoop(
+        () -> {
+          link =
+              new PeerLink(
+                  vertx, vertx.createNetClient(), node, true, new Events(), () -> 0.5, time);
+          link.connect();
+        });
+    server.setSoTimeout(WAIT_MS);
+    accepted = server.accept();
+    accepted.setSoTimeout(WAIT_MS);
+    connected.get(WAIT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    // The client closes its connection only when its pending bytes are written.
+    accepted.close();
+    server.close();
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  private void runOnLoop(Runnable action) throws Exception {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.runOnContext(
+        on -> {
+          try {
+            action.run();
+            done.complete(null);
+          } catch (RuntimeException e) {
+            done.completeExceptionally(e);
+          }
+        });
+    done.get(WAIT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void write(PeerMessage message) throws IOException {
+    byte[] bytes = codec.encode(message);
+    DataOutputStream out = new DataOutputStream(accepted.getOutputStream());
+    out.writeInt(bytes.length);
+    out.write(bytes);
+  }
+
+  private static PeerMessage.Status status() {
+    TargetStatus status =
+        new TargetStatus("i-n1", 1, "orders", "v1", TargetPhase.READY, 4, 0, false, 1);
+    return new PeerMessage.Status(status, TargetLoad.NONE, 1, true);
+  }
+
+  private static MeshCall call(List<String> headers, byte[] body) {
+    return new MeshCall(
+        "id-1", "GET", "/a", headers, body, 500, 500, 1, "r", "other", "i-n1", true, false);
+  }
+
+  private final class Events implements PeerLink.Listener {
+    @Override
+    public void onConnected(PeerLink from) {
+      connected.complete(null);
+    }
+
+    @Override
+    public void onDisconnected(PeerLink from, String reason) {
+      disconnected.add(reason);
+    }
+
+    @Override
+    public void onMessage(PeerLink from, PeerMessage message) {
+      received.add(message);
+    }
+
+    @Override
+    public void onSilent(PeerLink from, boolean first) {}
+  }
+
+  /**
+   * A connection is closed only when its pending bytes are written, so a node that was lost because
+   * it did not read may still be heard. Its target would be in use again without a connection.
+   */
+  @Test
+  void messageOfConnectionThatWasLostIsIgnored() throws Exception {
+    runOnLoop(() -> link.call(call(List.of(), new byte[UNREAD_BYTES]), response -> {}));
+    for (int i = 0; i < 3; i++) {
+      runOnLoop(
+          () -> {
+            time.advance(Duration.ofMillis(LOST_AFTER_MS));
+            link.check(true);
+          });
+    }
+    assertNotNull(disconnected.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+
+    write(status());
+    assertNull(received.poll(SILENT_MS, TimeUnit.MILLISECONDS));
+  }
+}
