Close a connection between nodes after a message that fails

After a call whose encoding failed midway, later messages on the connection could be decoded with other strings than were sent, such as the headers of another call: the dictionary of the sender held entries that the receiver had never got. A message whose processing failed unexpectedly left the connection open with its effect incomplete, and the exception went to the event loop.

Both now end the connection with the problem as the reason, so calls in flight end as unknown and both sides start with new dictionaries. connectionIsClosedAfterMessageThatCannotBeEncoded failed before with the exception in the caller, connectionIsClosedAfterMessageThatCannotBeProcessed with a connection that stayed open. InboundPeersTest, ResponseWriterTest and StateDistributionTest pass.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerSocket.java
@@ -22,6 +22,7 @@
 
   private final NetSocketInternal socket;
   private final TimeSource time;
+  private final Consumer<String> onProblem;
   private final PeerCodec codec = new PeerCodec();
   private long lastReceivedNanos;
   private boolean closed;
@@ -34,6 +35,7 @@
       Consumer<String> onProblem) {
     this.socket = socket;
     this.time = time;
+    this.onProblem = onProblem;
     this.lastReceivedNanos = time.nanoTime();
     socket
         .channelHandlerContext()
@@ -52,8 +54,10 @@
               onMessage.accept(this, codec.decode(bytes));
             }
           } catch (PeerException e) {
-            onProblem.accept(String.valueOf(e.getMessage()));
-            close();
+            closeAfter(String.valueOf(e.getMessage()));
+          } catch (RuntimeException e) {
+            // The message may have taken effect in part.
+            closeAfter("message cannot be processed: " + e);
           } finally {
             ReferenceCountUtil.release(message);
           }
@@ -67,12 +71,22 @@
         });
   }
 
-  /** Sends a message; returns the number of bytes written, 0 if the connection is closed. */
+  /**
+   * Sends a message; returns the number of bytes written, 0 if the connection is closed. A message
+   * that cannot be encoded closes it.
+   */
   int send(PeerMessage message) {
     if (closed) {
       return 0;
     }
-    byte[] bytes = codec.encode(message);
+    byte[] bytes;
+    try {
+      bytes = codec.encode(message);
+    } catch (RuntimeException e) {
+      // Strings of the message may be in the dictionary of this side only.
+      closeAfter("message cannot be encoded: " + e);
+      return 0;
+    }
     socket.write(
         Buffer.buffer(LENGTH_BYTES + bytes.length).appendInt(bytes.length).appendBytes(bytes));
     return LENGTH_BYTES + bytes.length;
@@ -106,4 +120,9 @@
       socket.close();
     }
   }
+
+  private void closeAfter(String problem) {
+    onProblem.accept(problem);
+    close();
+  }
 }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -1,5 +1,6 @@
 package org.acaciapond.sidecar.peer;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
@@ -13,6 +14,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +22,8 @@
 import java.util.concurrent.TimeUnit;
 import org.acaciapond.common.time.ManualTimeSource;
 import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerCodec;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -51,6 +55,7 @@
   private ServerSocket server;
   private Socket accepted;
   private PeerLink link;
+  private boolean failsOnMessage;
 
   @BeforeEach
   void connect() throws Exception {
@@ -122,6 +127,9 @@
 
     @Override
     public void onMessage(PeerLink from, PeerMessage message) {
+      if (failsOnMessage) {
+        throw new IllegalStateException("unexpected");
+      }
       received.add(message);
     }
 
@@ -148,4 +156,26 @@
     write(status());
     assertNull(received.poll(SILENT_MS, TimeUnit.MILLISECONDS));
   }
+
+  /** The dictionary of the sender is ahead of that of the receiver after such a message. */
+  @Test
+  void connectionIsClosedAfterMessageThatCannotBeEncoded() throws Exception {
+    List<String> headers = Arrays.asList("name", "name", null);
+    CompletableFuture<MeshResponse> response = new CompletableFuture<>();
+    runOnLoop(() -> link.call(call(headers, new byte[0]), response::complete));
+
+    assertEquals(Outcome.UNKNOWN, response.get(WAIT_MS, TimeUnit.MILLISECONDS).outcome());
+    assertNotNull(disconnected.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+    assertEquals(-1, accepted.getInputStream().read());
+  }
+
+  /** Such a message may have taken effect in part. */
+  @Test
+  void connectionIsClosedAfterMessageThatCannotBeProcessed() throws Exception {
+    failsOnMessage = true;
+    write(status());
+
+    assertNotNull(disconnected.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+    assertEquals(-1, accepted.getInputStream().read());
+  }
 }
