--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionReuseTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionReuseTest.java
@@ -225,6 +225,13 @@
     assertEquals(NOT_REUSED, secondResult(first, response(500, "two", "failed")));
   }
 
+  /** A Via header may name the protocol; a response that has one is complete and valid. */
+  @Test
+  void responseWithProtocolNameInViaHeaderIsValid() throws Exception {
+    String next = response(200, "two", "ok2").replace("Id:", "Via: HTTP/1.1 gateway\r\nId:");
+    assertEquals("200 ok2", secondResult(response(200, "one", "ok"), next));
+  }
+
   /** Ids of two responses in one head show that two responses were joined. */
   @Test
   void headWithTwoIdsIsNotTheResponse() throws Exception {
--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -141,6 +141,14 @@
     assertEquals(new End("ok", false), exchange(response("mine", "ok") + part, false, false));
   }
 
+  /** A success that is cut in its head must not receive the rest of the failure that follows it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK~Date: x", "HTTP/1.1 200 OK~"})
+  void failureBehindCutHeadOnNewConnectionIsNotTakenForSuccess(String cut) throws Exception {
+    String failure = response("mine", "failed").replace("200 OK", "500 Error");
+    assertEquals("bad", exchange(cut.replace("~", "\r\n") + failure, true, false).result());
+  }
+
   @Test
   void truncatedBodyIsBadResponse() throws Exception {
     String cut = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 10\r\n\r\nabc";
