--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -294,8 +294,7 @@
 
   private void onHead(ClientRequest sent, io.netty.handler.codec.http.HttpResponse response) {
     ResponseHead received = ResponseHead.of(response);
-    // Only after an earlier response can a cut copy of it precede the expected response.
-    if (responded && JoinedHead.matches(response)) {
+    if (JoinedHead.matches(response)) {
       fail(true, "head contains the start of another response");
       close();
       return;
