Refuse a call to a node whose connection is being closed

A call on a connection that was closed but not gone yet was never sent and ended with an unknown outcome, so that a request that must run once could not be tried elsewhere. It is refused now, like one without a connection.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -202,7 +202,7 @@
   /** Sends a call; returns an action that cancels it. */
   Runnable call(MeshCall call, Consumer<MeshResponse> callback) {
     PeerSocket current = socket;
-    if (current == null) {
+    if (current == null || current.isClosed()) {
       callback.accept(
           MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
       return () -> {};
