Close connections to the target before the ids of their calls are forgotten

A repeated call is recognized by the last 4,096 ids. A connection that was used for longer could have carried an id that is forgotten, and would be used for a repeated call again. It is now closed when as many calls have passed since it was opened.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnection.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnection.java
@@ -13,17 +13,20 @@
 
   private final ClientConnection client;
   private final long number;
+  private final long openedAtCall;
   private String lastCallId = "";
   private String previousCallId = "";
 
   TargetConnection(
       NetSocketInternal socket,
       long number,
+      long openedAtCall,
       int maxBodyBytes,
       BodyBudget bodyBudget,
       BiConsumer<TargetConnection, UnexpectedResponse> onUnexpected,
       TimeSource time) {
     this.number = number;
+    this.openedAtCall = openedAtCall;
     this.client =
         new ClientConnection(
             socket,
@@ -62,6 +65,11 @@
     return number;
   }
 
+  /** Returns how many calls had asked for a connection to the target when this one was opened. */
+  long openedAtCall() {
+    return openedAtCall;
+  }
+
   /** Returns the id of the call in flight, or of the last one; empty before the first call. */
   String lastCallId() {
     return lastCallId;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
@@ -27,20 +27,36 @@
   private final SocketAddressSetting address;
   private final NetClient client;
   private final NodeMetrics metrics;
+  private final int maxCallsSinceOpened;
   private final BiConsumer<TargetConnection, UnexpectedResponse> onUnexpected;
   private final TimeSource time;
   private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
   private final Deque<TargetConnection> idle = new ArrayDeque<>();
   private long connectionCount;
+  private long callCount;
 
+  /**
+   * Creates an empty pool.
+   *
+   * @param vertx event loops
+   * @param address address of the target
+   * @param metrics counters of connections
+   * @param maxCallsSinceOpened number of calls, on all connections, after which a connection is not
+   *     used again. The ids of all calls that a connection has carried must still be known, so that
+   *     a repeated call is recognized.
+   * @param onUnexpected receives responses that were not asked for
+   * @param time clock
+   */
   TargetConnections(
       Vertx vertx,
       SocketAddressSetting address,
       NodeMetrics metrics,
+      int maxCallsSinceOpened,
       BiConsumer<TargetConnection, UnexpectedResponse> onUnexpected,
       TimeSource time) {
     this.address = address;
     this.metrics = metrics;
+    this.maxCallsSinceOpened = maxCallsSinceOpened;
     this.onUnexpected = onUnexpected;
     this.time = time;
     this.client =
@@ -60,6 +76,7 @@
       boolean repeated,
       Consumer<TargetConnection> use,
       Consumer<Throwable> fail) {
+    callCount++;
     long nowNanos = time.nanoTime();
     long maxIdleNanos = idempotent ? MAX_IDLE_NANOS : MAX_NON_IDEMPOTENT_IDLE_NANOS;
     TargetConnection reusable = repeated ? null : idle.peekLast();
@@ -82,6 +99,7 @@
                   new TargetConnection(
                       (NetSocketInternal) socket,
                       ++connectionCount,
+                      callCount,
                       MAX_RESPONSE_BYTES,
                       responseBudget,
                       onUnexpected,
@@ -96,7 +114,8 @@
 
   /** Returns a connection to the pool after its request has ended, or closes it if unusable. */
   void release(TargetConnection connection) {
-    if (connection.isUsable(time.nanoTime(), MAX_IDLE_NANOS)) {
+    boolean outdated = callCount - connection.openedAtCall() >= maxCallsSinceOpened;
+    if (!outdated && connection.isUsable(time.nanoTime(), MAX_IDLE_NANOS)) {
       idle.addLast(connection);
     } else {
       connection.close();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -126,7 +126,12 @@
     this.diagnostics = new TargetDiagnostics(exchange, recentRuns, this.log, metrics, time);
     this.connections =
         new TargetConnections(
-            vertx, settings.target(), metrics, diagnostics::recordUnexpected, time);
+            vertx,
+            settings.target(),
+            metrics,
+            RECENT_CALL_IDS,
+            diagnostics::recordUnexpected,
+            time);
     vertx.setPeriodic(CLOSE_EXPIRED_INTERVAL_MS, id -> connections.closeExpired());
   }
 
