Test extra successes behind hidden failures and responses without a length

A cut copy of an earlier response joins the head of the next one, whose failure is skipped as a response to the earlier call.

A response to another request without a length keeps the request waiting until its deadline: both cases end with a timeout after 10 s.

--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -166,6 +166,14 @@
     assertEquals("bad", exchange(open, false, true).result());
   }
 
+  /** Guards against a request that waits for the end of a response that is not its own. */
+  @ParameterizedTest
+  @ValueSource(strings = {"no colon here", "Id: other"})
+  void responseToOtherRequestWithoutLengthFailsRequestAtOnce(String header) throws Exception {
+    String open = "HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n";
+    assertEquals(new End("bad", false), exchange(open, false, false));
+  }
+
   @Test
   void closeWithoutResponseIsNotBadResponse() throws Exception {
     assertEquals("gone", exchange("", true, false).result());
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetGatewayExtraBytesTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetGatewayExtraBytesTest.java
@@ -348,6 +348,27 @@
                     first, second, "a1", "b2", "HTTP/1.1 200 OK", Timing.WITH_FIRST_THEN_IDLE))));
   }
 
+  /**
+   * Guards against a failure that is skipped as the end of a cut copy, so that an extra success of
+   * the same call is received instead.
+   */
+  @ParameterizedTest
+  @MethodSource("timings")
+  void extraSuccessBehindFailureThatCutCopyHidesIsNotReceived(Timing timing) throws Exception {
+    Answer first = success("a1", "a1", true);
+    Answer failure = failure("b2", "b2", true);
+    Answer extra = Answer.of(200, "b2", failure.signature, "ok", true);
+    Answer second =
+        new Answer(failure.bytes + extra.bytes, failure.status, failure.signature, failure.body);
+    List<Case> cases =
+        IntStream.range(0, first.bytes.length())
+            .mapToObj(
+                end -> new Case(first, second, "a1", "b2", first.bytes.substring(0, end), timing))
+            .toList();
+    List<String> violations = violations(cases);
+    assertEquals(List.of(), violations, () -> violations.size() + " of " + cases.size());
+  }
+
   /** Guards against a call that fails for bytes that had arrived before it was sent. */
   @ParameterizedTest
   @CsvSource(
