--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/stutter/StutteringTarget.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/stutter/StutteringTarget.java
@@ -212,11 +212,8 @@
       long startNanos,
       String place,
       Random random) {
-    byte[] body =
-        new byte
-            [status == 200
-                ? MIN_BODY_BYTES + random.nextInt(MAX_BODY_BYTES - MIN_BODY_BYTES + 1)
-                : 0];
+    int beyondMin = random.nextInt(MAX_BODY_BYTES - MIN_BODY_BYTES + 1);
+    byte[] body = new byte[status == 200 ? MIN_BODY_BYTES + beyondMin : 0];
     random.nextBytes(body);
     String signature =
         Long.toHexString(NEXT_SIGNATURE.incrementAndGet())
