--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -409,7 +409,7 @@
   private void readConnectionHeaders(
       io.netty.handler.codec.http.HttpResponse ended, boolean endKnown) {
     if (!endKnown || !requestWritten) {
-      // The server still sends, or a part of the request body has not been written yet.
+      // Bytes of the response, or of the request body, are still on their way.
       reusable = false;
     }
     if (!HttpUtil.isKeepAlive(ended)) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/ScriptedTarget.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/ScriptedTarget.java
@@ -53,6 +53,11 @@
     return requestHeads.size();
   }
 
+  /** Returns how many connections were accepted. */
+  int connectionCount() {
+    return sockets.size();
+  }
+
   private void acceptConnections() {
     try {
       while (true) {
