--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -4,7 +4,6 @@
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
-import org.acaciapond.http.ClientRequest;
 import org.acaciapond.http.HttpResponse;
 import org.acaciapond.mesh.admission.AdmissionQueue;
 import org.acaciapond.mesh.admission.AdmissionResult;
@@ -404,14 +403,13 @@
       return;
     }
     MeshCall call = gatewayCall.call;
-    ClientRequest request = exchange.buildRequest(call, leftMs, connection.isNew());
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
     gatewayCall.run = diagnostics.recordSent(call, connection);
     health.recordSent(call, nowNanos);
     connection.send(
         call.id(),
-        request,
+        exchange.buildRequest(call, leftMs, connection.isNew()),
         new ClientConnection.Listener() {
           @Override
           public void responseReceived(HttpResponse response) {
