Check the age of a connection to the target when it is taken from the pool

The age in calls was checked only when a connection was returned. One that waited in the pool behind connections that were used later could outlive the memory of the ids that it had carried, and a repeated call could get it, and with it a late copy of the answer to its first run. The check now stands where a connection is taken; the limit is the same. Found by reading the change once more. connectionThatWaitedForMoreCallsThanIdsAreRememberedIsNotReused failed before (connection 1, not 3).

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetConnections.java
@@ -13,6 +13,7 @@
 import org.acaciapond.http.UnexpectedResponse;
 import org.acaciapond.mesh.platform.SocketAddressSetting;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Connection pool for the local target. */
 final class TargetConnections {
@@ -79,7 +80,7 @@
     callCount++;
     long nowNanos = time.nanoTime();
     long maxIdleNanos = idempotent ? MAX_IDLE_NANOS : MAX_NON_IDEMPOTENT_IDLE_NANOS;
-    TargetConnection reusable = repeated ? null : idle.peekLast();
+    TargetConnection reusable = repeated ? null : lastIdle();
     if (reusable != null) {
       if (reusable.isUsable(nowNanos, maxIdleNanos)) {
         idle.removeLast();
@@ -112,10 +113,20 @@
             });
   }
 
+  private @Nullable TargetConnection lastIdle() {
+    while (!idle.isEmpty() && isOutdated(idle.peekLast())) {
+      idle.removeLast().close();
+    }
+    return idle.peekLast();
+  }
+
+  private boolean isOutdated(TargetConnection connection) {
+    return callCount - connection.openedAtCall() > maxCallsSinceOpened;
+  }
+
   /** Returns a connection to the pool after its request has ended, or closes it if unusable. */
   void release(TargetConnection connection) {
-    boolean outdated = callCount - connection.openedAtCall() >= maxCallsSinceOpened;
-    if (!outdated && connection.isUsable(time.nanoTime(), MAX_IDLE_NANOS)) {
+    if (connection.isUsable(time.nanoTime(), MAX_IDLE_NANOS)) {
       idle.addLast(connection);
     } else {
       connection.close();
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetConnectionsTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/TargetConnectionsTest.java
@@ -82,6 +82,43 @@
     assertEquals(List.of(1L, 1L, 1L, 1L, 2L), numbersOf(5, false));
   }
 
+  /** Connections that were used later are taken first, so that an older one may wait for long. */
+  @Test
+  void connectionThatWaitedForMoreCallsThanIdsAreRememberedIsNotReused() throws Exception {
+    CompletableFuture<Long> result = new CompletableFuture<>();
+    vertx.runOnContext(
+        on -> {
+          TargetConnections connections = newConnections();
+          connections.acquire(
+              true,
+              false,
+              waiting ->
+                  connections.acquire(
+                      true,
+                      true,
+                      used -> {
+                        connections.release(waiting);
+                        connections.release(used);
+                        acquireBehindOtherCalls(connections, result);
+                      },
+                      result::completeExceptionally),
+              result::completeExceptionally);
+        });
+    assertEquals(3, result.get(WAIT_S, TimeUnit.SECONDS));
+  }
+
+  private static void acquireBehindOtherCalls(
+      TargetConnections connections, CompletableFuture<Long> result) {
+    connections.acquire(true, false, connections::release, result::completeExceptionally);
+    connections.acquire(
+        true,
+        false,
+        held ->
+            connections.acquire(
+                true, false, last -> result.complete(last.number()), result::completeExceptionally),
+        result::completeExceptionally);
+  }
+
   @Test
   void repeatedCallGetsNewConnection() throws Exception {
     assertEquals(List.of(1L, 2L, 3L), numbersOf(3, true));
