Check responses without an exchange id for joined heads too

The stand-alone node took a failure for a success when its target, which does not return the exchange id, began a success on a new connection and then sent its failure. Found by reading the change once more. failureBehindCutHeadIsNotTakenForSuccessOfTargetThatDoesNotReturnTheExchangeId failed before (200).

--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetResponses.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetResponses.java
@@ -56,7 +56,7 @@
     List<String> ids = response.headers().getAll(MeshHeaders.EXCHANGE_ID);
     if (ids.isEmpty()) {
       onIdOmitted();
-      return !reusable;
+      return !reusable && !isJoined(response);
     }
     idReturned = true;
     return ids.size() == 1 && ids.get(0).equals(exchangeId) && !isJoined(response);
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
@@ -39,6 +39,7 @@
   private final AtomicInteger connections = new AtomicInteger();
   private ServerSocket target;
   private volatile boolean echoes;
+  private volatile String prefix = "";
   private volatile UnaryOperator<String> repeat = response -> response;
 
   @BeforeEach
@@ -74,7 +75,8 @@
       int count = socket.getInputStream().read(buffer);
       while (count > 0) {
         String response = respond(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().write((copy + response).getBytes(StandardCharsets.ISO_8859_1));
+        String text = prefix + copy + response;
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         copy = repeat.apply(response);
         count = socket.getInputStream().read(buffer);
       }
@@ -150,6 +152,13 @@
     assertNotEquals(200, call("/safe/fail").status());
   }
 
+  /** A target may also begin a success on a new connection and then fail. */
+  @Test
+  void failureBehindCutHeadIsNotTakenForSuccessOfTargetThatDoesNotReturnTheExchangeId() {
+    prefix = "HTTP/1.1 200 OK";
+    assertNotEquals(200, call("/safe/fail").status());
+  }
+
   /** Connections cost time, so those to a target that returns the exchange id are reused. */
   @Test
   void connectionsToTargetThatReturnsTheExchangeIdAreReused() {
