--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpMessage.java
@@ -1,5 +1,6 @@
 package org.acaciapond.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,6 +14,16 @@
 
   private HttpMessage() {}
 
+  /** Returns decoded headers as a list of alternating names and values. */
+  static List<String> toList(HttpHeaders headers) {
+    List<String> list = new ArrayList<>(2 * headers.size());
+    for (Map.Entry<String, String> header : headers) {
+      list.add(header.getKey());
+      list.add(header.getValue());
+    }
+    return list;
+  }
+
   /** Returns the first value of a header, or null. */
   public static @Nullable String header(List<String> headers, String name) {
     for (int i = 0; i + 1 < headers.size(); i += 2) {
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ResponseHead.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ResponseHead.java
@@ -5,9 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,12 +19,7 @@
   private static final int MAX_DECODED_BYTES = 8_192;
 
   static ResponseHead of(HttpResponse response) {
-    List<String> headers = new ArrayList<>();
-    for (Map.Entry<String, String> header : response.headers()) {
-      headers.add(header.getKey());
-      headers.add(header.getValue());
-    }
-    return new ResponseHead(response.status().code(), headers);
+    return new ResponseHead(response.status().code(), HttpMessage.toList(response.headers()));
   }
 
   /**
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -27,7 +27,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import org.acaciapond.common.time.TimeSource;
 import org.jspecify.annotations.Nullable;
 
@@ -138,17 +137,12 @@
       reject(400);
       return;
     }
-    List<String> headers = new ArrayList<>();
-    for (Map.Entry<String, String> header : request.headers()) {
-      headers.add(header.getKey());
-      headers.add(header.getValue());
-    }
     reading =
         new HttpExchange(
             this,
             request.method().name(),
             request.uri(),
-            headers,
+            HttpMessage.toList(request.headers()),
             HttpUtil.isKeepAlive(request),
             time.nanoTime());
     if (HttpUtil.is100ContinueExpected(request)) {
