Identify client accounts by the keys of their requests

Cause: the keys of client accounts were forwarded to targets, and targets did not learn whose request they ran.

The desired state holds the accounts, indexed by digests of their keys. The node of the client refuses a request without a valid key with 401, removes the key, and sends the name of the account on to the target. The account's priority precedes that of the route. Routes can be open to requests without a key; calls that a target makes carry none. An invalid account is skipped and counted.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/call/MeshCall.java
@@ -18,6 +18,7 @@
  * @param targetId id of the lifetime of the target that the caller selected
  * @param idempotent whether the request may run more than once
  * @param retry whether this call counts against the retry budget
+ * @param account name of the client account whose request this is; empty if it has none
  */
 public record MeshCall(
     String id,
@@ -32,7 +33,27 @@
     String callerService,
     String targetId,
     boolean idempotent,
-    boolean retry) {
+    boolean retry,
+    String account) {
+
+  /** Returns this call for another client account. */
+  public MeshCall withAccount(String other) {
+    return new MeshCall(
+        id,
+        method,
+        uri,
+        headers,
+        body,
+        leftMs,
+        objectiveLeftMs,
+        rank,
+        route,
+        callerService,
+        targetId,
+        idempotent,
+        retry,
+        other);
+  }
 
   /** Returns this call with the times that are left after a transit time. */
   public MeshCall afterTransit(int transitMs) {
@@ -49,6 +70,7 @@
         callerService,
         targetId,
         idempotent,
-        retry);
+        retry,
+        account);
   }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -78,6 +78,7 @@
       out.packInt(CALL).packLong(call.callNumber());
       writeCall(out, call.call());
       out.packLong(call.sentMs());
+      dictionary.write(out, call.call().account());
     } else if (message instanceof PeerMessage.Response response) {
       out.packInt(RESPONSE).packLong(response.callNumber());
       writeResponse(out, response.response());
@@ -134,8 +135,13 @@
               in.hasNext() && in.unpackBoolean());
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
-      case CALL ->
-          new PeerMessage.Call(in.unpackLong(), readCall(in), PackedFields.readOptionalLong(in));
+      case CALL -> {
+        long number = in.unpackLong();
+        MeshCall call = readCall(in);
+        long sentMs = PackedFields.readOptionalLong(in);
+        String account = in.hasNext() ? dictionary.read(in) : "";
+        yield new PeerMessage.Call(number, call.withAccount(account), sentMs);
+      }
       case RESPONSE -> new PeerMessage.Response(in.unpackLong(), readResponse(in));
       case RESPONSE_PART ->
           new PeerMessage.ResponsePart(in.unpackLong(), PackedFields.readBytes(in));
@@ -253,7 +259,8 @@
         dictionary.read(in),
         dictionary.read(in),
         in.unpackBoolean(),
-        in.unpackBoolean());
+        in.unpackBoolean(),
+        "");
   }
 
   private void writeResponse(MessageBufferPacker out, MeshResponse response) throws IOException {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/CallHeaders.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/CallHeaders.java
@@ -9,6 +9,8 @@
  * @param callerService service whose node received the request first
  * @param signature target's signature of a response
  * @param notRun present if the target did not run the request
+ * @param credentials key of a client account, see {@link PlatformCodec#decodeKey}
+ * @param account name of the client account that holds the key, which targets receive in its place
  */
 public record CallHeaders(
     String callId,
@@ -16,4 +18,6 @@
     String targetId,
     String callerService,
     String signature,
-    String notRun) {}
+    String notRun,
+    String credentials,
+    String account) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/OperatorRow.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/OperatorRow.java
@@ -12,6 +12,14 @@
   /** An order to roll out a version of a service. */
   record Order(RolloutOrder order) implements OperatorRow {}
 
+  /**
+   * An order to send nothing more to the targets of a failure domain.
+   *
+   * @param domain failure domain
+   * @param inForce whether the order is in force; false if the operator has removed it
+   */
+  record Evacuation(String domain, boolean inForce) implements OperatorRow {}
+
   /** A row that cannot be decoded or does not concern nodes. */
   record Unknown(String problem) implements OperatorRow {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/PlatformCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/PlatformCodec.java
@@ -13,6 +13,15 @@
   /** Returns the id of the request on whose behalf a call was made, or null if there is none. */
   @Nullable String parentId(String callId);
 
+  /**
+   * Returns the key of a client account that a value of the credentials header contains, or null if
+   * the value has another form.
+   */
+  @Nullable String decodeKey(String credentials);
+
+  /** Returns the authentication scheme of the credentials header. */
+  String keyScheme();
+
   /** Returns the path of the readiness check. */
   String readyPath();
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/platform/SidecarSettings.java
@@ -40,6 +40,12 @@
    * @param newVersionShare largest share of a service's requests for a version that was not proven
    *     good
    * @param newVersionSlack requests for such a version in addition to the share
+   * @param quotaWindowMs length of the window in which the requests of a client account are counted
+   * @param quotaOverShare share of an account's limit that may pass beyond it
+   * @param quotaSlack requests that may pass beyond the limit in addition to the share
+   * @param coldOverFactor largest number of requests per second to a cold target, as a multiple of
+   *     the number that it tolerates
+   * @param coldSlack requests in addition to that number
    */
   public record Bounds(
       int graceMs,
@@ -47,5 +53,10 @@
       double retrySlack,
       int retryWindowMs,
       double newVersionShare,
-      double newVersionSlack) {}
+      double newVersionSlack,
+      int quotaWindowMs,
+      double quotaOverShare,
+      double quotaSlack,
+      double coldOverFactor,
+      double coldSlack) {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/RequestKind.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/RequestKind.java
@@ -8,6 +8,8 @@
   DOWNLOAD(true),
   /** Requests that may run at most once. */
   NON_IDEMPOTENT(false),
+  /** Requests with large bodies that may run at most once. */
+  UPLOAD(false),
   /** Requests of a kind that this release does not know, which therefore run at most once. */
   UNKNOWN(false);
 
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/Route.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/Route.java
@@ -14,6 +14,7 @@
  * @param priority rank in admission queues; 0 is admitted first
  * @param services services that share the traffic by weight, at least one
  * @param maxAttempts maximum number of targets that one request may be sent to
+ * @param open whether requests need no key of a client account
  */
 public record Route(
     String name,
@@ -24,7 +25,8 @@
     int objectiveMs,
     int priority,
     List<WeightedService> services,
-    int maxAttempts) {
+    int maxAttempts,
+    boolean open) {
 
   /** Makes an immutable copy of the list. */
   public Route {
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -72,7 +72,20 @@
     byte[] body = "body".getBytes(StandardCharsets.UTF_8);
     MeshCall call =
         new MeshCall(
-            "id", "POST", "/a?b", List.of("h", "v"), body, 500, -3, -1, "r", "s", "i", false, true);
+            "id",
+            "POST",
+            "/a?b",
+            List.of("h", "v"),
+            body,
+            500,
+            -3,
+            -1,
+            "r",
+            "s",
+            "i",
+            false,
+            true,
+            "");
     PeerMessage.Call decodedCall =
         assertInstanceOf(
             PeerMessage.Call.class,
@@ -121,7 +134,8 @@
               "service",
               "i-target",
               true,
-              false);
+              false,
+              "");
       byte[] encoded = sender.encode(new PeerMessage.Call(i, call, 77));
       bytes[i] = encoded.length;
       PeerMessage.Call decodedCall =
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/route/RouteTableTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/route/RouteTableTest.java
@@ -7,6 +7,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.acaciapond.mesh.account.AccountDirectory;
 import org.junit.jupiter.api.Test;
 
 class RouteTableTest {
@@ -21,15 +22,18 @@
         200,
         1,
         List.of(new WeightedService("a", 1)),
-        2);
+        2,
+        false);
   }
 
   private static DesiredState state(long version, Route... routes) {
     return new DesiredState(
         version,
         List.of(routes),
-        Map.of("a", new ServiceSpec("a", "/health", 10)),
-        ClientLimits.DEFAULT);
+        Map.of("a", new ServiceSpec("a", "/health", 10, 0)),
+        ClientLimits.DEFAULT,
+        AccountDirectory.NOT_CONFIGURED,
+        List.of());
   }
 
   private static String match(RouteTable table, String host, String uri) {
@@ -81,7 +85,8 @@
             200,
             1,
             List.of(new WeightedService("a", 90), new WeightedService("b", 10)),
-            2);
+            2,
+            false);
     int toA = 0;
     for (int i = 0; i < 1000; i++) {
       toA += split.selectService(i / 1000.0).equals("a") ? 1 : 0;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar.call;
 
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,7 +11,10 @@
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpExchange;
+import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.mesh.account.Access;
+import org.acaciapond.mesh.account.AccountDirectory;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -52,7 +56,8 @@
   final TimeSource time;
   private final DesiredStateHolder desiredState;
   private final DoubleSupplier random;
-  final List<String> systemHeaders;
+  private final List<String> systemHeaders;
+  private final List<String> systemHeadersWithCredentials;
   final AttemptLatencies latencies = new AttemptLatencies();
   private final Map<String, Double> responseBytes = new HashMap<>();
   private boolean refusing;
@@ -84,7 +89,10 @@
             headerNames.callId(),
             headerNames.timeoutMs(),
             headerNames.targetId(),
-            headerNames.callerService());
+            headerNames.callerService(),
+            headerNames.account());
+    this.systemHeadersWithCredentials = new ArrayList<>(systemHeaders);
+    systemHeadersWithCredentials.add(headerNames.credentials());
     this.desiredState = desiredState;
     this.network = network;
     this.chooser = chooser;
@@ -148,10 +156,27 @@
     int limitMs = Math.min(clientTimeoutMs, route.timeoutMs());
     String parentId = codec.parentId(id);
     MeshCall parent = parentId == null ? null : gateway.findRunningCall(parentId);
+    AccountDirectory accounts = table.state().accounts();
+    // Calls that a target makes for a request carry no key; the request itself had one.
+    boolean keyNeeded = !route.open() && parent == null;
+    Access access = Access.decide(accounts, keyOf(exchange), keyNeeded);
+    if (!access.granted()) {
+      endUnauthorized(exchange, id, table.version());
+      return;
+    }
     String service = route.selectService(random.getAsDouble());
     RoutedRequest request =
         new RoutedRequest(
-            this, exchange, id, route, service, limitMs, random.getAsDouble(), parent);
+            this,
+            exchange,
+            forwardedHeaders(exchange, accounts),
+            id,
+            route,
+            service,
+            limitMs,
+            random.getAsDouble(),
+            parent,
+            access.account());
     openRequests.add(request);
     budget.recordRequest(service, time.nanoTime());
     if (parent != null && parent.retry()) {
@@ -160,6 +185,20 @@
     request.start();
   }
 
+  private @Nullable String keyOf(HttpExchange exchange) {
+    if (HttpMessage.count(exchange.headers(), headerNames.credentials()) != 1) {
+      return null;
+    }
+    String credentials = exchange.header(headerNames.credentials());
+    return credentials == null ? null : codec.decodeKey(credentials);
+  }
+
+  // Without accounts, the credentials are a header like any other.
+  private List<String> forwardedHeaders(HttpExchange exchange, AccountDirectory accounts) {
+    return HttpMessage.endToEnd(
+        exchange.headers(), accounts.isConfigured() ? systemHeadersWithCredentials : systemHeaders);
+  }
+
   private static int timeoutMs(@Nullable String header) {
     if (header == null) {
       return DEFAULT_TIMEOUT_MS;
@@ -175,6 +214,11 @@
     openRequests.remove(request);
   }
 
+  private void endUnauthorized(HttpExchange exchange, String id, long stateVersion) {
+    recordUnrouted(exchange, id, 401, "unauthorized", "state_version", stateVersion);
+    exchange.respond(HttpResponse.empty(401, List.of("WWW-Authenticate", codec.keyScheme())));
+  }
+
   private void endUnrouted(
       HttpExchange exchange,
       @Nullable String id,
@@ -182,6 +226,17 @@
       String end,
       String field,
       Object value) {
+    recordUnrouted(exchange, id, status, end, field, value);
+    exchange.respond(HttpResponse.empty(status, List.of()));
+  }
+
+  private void recordUnrouted(
+      HttpExchange exchange,
+      @Nullable String id,
+      int status,
+      String end,
+      String field,
+      Object value) {
     metrics.recordRequest(end, time.nanoTime() - exchange.receivedNanos());
     log.request(
         "request_ended",
@@ -195,7 +250,6 @@
         exchange.uri(),
         field,
         value);
-    exchange.respond(HttpResponse.empty(status, List.of()));
   }
 
   private void refuse(HttpExchange exchange, @Nullable String id, Reason reason, int retryAfterMs) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.acaciapond.http.HttpExchange;
-import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.mesh.account.ClientAccount;
 import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
@@ -44,6 +44,7 @@
 
   private final RequestRouter router;
   private final HttpExchange exchange;
+  private final List<String> headers;
   private final String id;
   private final Route route;
   private final String service;
@@ -53,6 +54,8 @@
   private final @Nullable MeshCall parent;
   private final int rank;
   private final boolean partOfRetry;
+  // Name of the client account; empty if the request has none.
+  private final String account;
   private final RequestLog log;
   private final Set<String> triedNodes = new HashSet<>();
   private final List<Attempt> openAttempts = new ArrayList<>();
@@ -70,14 +73,17 @@
   RoutedRequest(
       RequestRouter router,
       HttpExchange exchange,
+      List<String> headers,
       String id,
       Route route,
       String service,
       int limitMs,
       double draw,
-      @Nullable MeshCall parent) {
+      @Nullable MeshCall parent,
+      @Nullable ClientAccount account) {
     this.router = router;
     this.exchange = exchange;
+    this.headers = headers;
     this.id = id;
     this.route = route;
     this.service = service;
@@ -86,10 +92,15 @@
     this.parent = parent;
     this.rank =
         parent == null
-            ? CallRank.ofRequest(route.priority())
+            ? CallRank.ofRequest(priority(route, account))
             : CallRank.ofNestedCall(parent.rank());
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.partOfRetry = parent != null && parent.retry();
+    this.account = account == null ? "" : account.name();
+  }
+
+  private static int priority(Route route, @Nullable ClientAccount account) {
+    return account == null ? route.priority() : account.priority().orElse(route.priority());
   }
 
   void start() {
@@ -158,7 +169,7 @@
             id,
             exchange.method(),
             exchange.uri(),
-            HttpMessage.endToEnd(exchange.headers(), router.systemHeaders),
+            headers,
             exchange.body(),
             leftMs,
             objectiveLeftMs,
@@ -167,7 +178,8 @@
             router.settings.service(),
             chosen.status().id(),
             route.idempotent(),
-            partOfRetry || sentToTargets + openAttempts.size() > 0);
+            partOfRetry || sentToTargets + openAttempts.size() > 0,
+            account);
     Attempt attempt = new Attempt(chosen, nowNanos);
     openAttempts.add(attempt);
     router.callObserver.onCallSent(attempt.target);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -90,6 +90,7 @@
       if (updated) {
         metrics.setStateVersion(state.state().version());
         reportUnknownKinds(state.state());
+        reportSkippedEntries(state.state());
       }
     } else if (decoded instanceof OperatorRow.Order order) {
       orderListener.accept(order.order());
@@ -122,6 +123,21 @@
     }
   }
 
+  private void reportSkippedEntries(DesiredState state) {
+    List<String> problems = state.problems();
+    metrics.setSkippedEntries(problems.size());
+    if (!problems.isEmpty()) {
+      log.event(
+          "state_entries_skipped",
+          "version",
+          state.version(),
+          "entries",
+          problems.size(),
+          "first",
+          problems.get(0));
+    }
+  }
+
   /** Returns the highest version of the current rows, -1 if there are none. */
   public long version() {
     return version;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -42,7 +42,8 @@
             headerNames.callId(),
             headerNames.timeoutMs(),
             headerNames.targetId(),
-            headerNames.callerService());
+            headerNames.callerService(),
+            headerNames.account());
   }
 
   /**
@@ -56,6 +57,9 @@
     add(headers, headerNames.timeoutMs(), Integer.toString(leftMs));
     add(headers, headerNames.targetId(), call.targetId());
     add(headers, headerNames.callerService(), call.callerService());
+    if (!call.account().isEmpty()) {
+      add(headers, headerNames.account(), call.account());
+    }
     return new ClientRequest(
         call.method(),
         call.uri(),
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -36,6 +36,7 @@
   private final Counter unprovenVersionCalls;
   private final Gauge exposureViolations;
   private final Gauge routesOfUnknownKind;
+  private final Gauge skippedEntries;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -80,6 +81,10 @@
         registerGauge(
             "acaciapond_routes_of_unknown_kind",
             "Routes whose kind of requests is unknown, so that they are not retried.");
+    skippedEntries =
+        registerGauge(
+            "acaciapond_skipped_state_entries",
+            "Entries of the desired state in force that were skipped as invalid.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -180,6 +185,11 @@
     routesOfUnknownKind.set(count);
   }
 
+  /** Sets the number of entries of the desired state that were skipped as invalid. */
+  public void setSkippedEntries(int count) {
+    skippedEntries.set(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
@@ -46,7 +46,7 @@
             new SocketAddressSetting(HOST, targetPort),
             new SocketAddressSetting(HOST, storePort),
             256,
-            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50));
+            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50, 5_000, 0.1, 20, 1.5, 8));
     start();
   }
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -77,7 +77,8 @@
             "other",
             "i-n1",
             true,
-            false);
+            false,
+            "");
     return new PeerMessage.Call(number, call, sentMs);
   }
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -111,7 +111,7 @@
 
   private static MeshCall call(List<String> headers, byte[] body) {
     return new MeshCall(
-        "id-1", "GET", "/a", headers, body, 500, 500, 1, "r", "other", "i-n1", true, false);
+        "id-1", "GET", "/a", headers, body, 500, 500, 1, "r", "other", "i-n1", true, false, "");
   }
 
   private final class Events implements PeerLink.Listener {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/ResponsePartLimitTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/ResponsePartLimitTest.java
@@ -69,7 +69,8 @@
         "other",
         "i-1",
         true,
-        false);
+        false,
+        "");
   }
 
   private Buffer frame(PeerMessage message) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
@@ -44,7 +44,7 @@
             new SocketAddressSetting(HOST, targetPort),
             unused,
             MAX_FILES,
-            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50));
+            new SidecarSettings.Bounds(6_000, 0.2, 60, 10_000, 0.1, 50, 5_000, 0.1, 20, 1.5, 8));
     return new TargetGateway(
         vertx,
         settings,
@@ -87,6 +87,7 @@
         "other",
         TARGET_ID,
         true,
-        false);
+        false,
+        "");
   }
 }
