Refuse queued calls before their deadline

A call that waited in the queue of another node was ended there 100 ms after its deadline, so the calling node answered 504 although no target had been offered the request. A call that has a slot but waits for a connection is ended as not run as well; it was reported as of unknown outcome.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -18,8 +18,6 @@
  */
 public final class AdmissionQueue<T> {
 
-  // A call with less than this share of its expected service time left is refused instead of run.
-  private static final double MIN_REMAINING_TIME_SHARE = 0.5;
   private static final int MIN_RETRY_AFTER_MS = 20;
   private static final int MAX_LIMITED_ROUTES = 512;
 
@@ -172,11 +170,22 @@
   }
 
   private static double limitUs(CallClass callClass, double serviceUs, long nowNanos) {
-    return WaitLimit.limitUs(
-        callClass.rank(),
-        (callClass.objectiveAtNanos() - nowNanos) / 1000.0,
-        (callClass.deadlineNanos() - nowNanos) / 1000.0,
-        serviceUs);
+    double limitUs =
+        WaitLimit.limitUs(
+            callClass.rank(),
+            (callClass.objectiveAtNanos() - nowNanos) / 1000.0,
+            (callClass.deadlineNanos() - nowNanos) / 1000.0,
+            serviceUs);
+    double untilLatestStartUs =
+        (LatestStart.nanos(callClass.deadlineNanos(), serviceUs) - nowNanos) / 1000.0;
+    return Math.max(0, Math.min(limitUs, untilLatestStartUs));
+  }
+
+  /**
+   * Returns the monotonic time after which a queued call is refused because it cannot end in time.
+   */
+  public long latestStartNanos(CallClass callClass) {
+    return LatestStart.nanos(callClass.deadlineNanos(), serviceTimes.expectedUs(callClass.route()));
   }
 
   // Evicts calls queued behind the new one that would now miss their deadline: an early refusal
@@ -218,8 +227,8 @@
     Iterator<QueuedCall<T>> each = queue.iterator();
     while (running < slots && each.hasNext()) {
       QueuedCall<T> next = each.next();
-      double leftUs = (next.callClass.deadlineNanos() - nowNanos) / 1000.0;
-      boolean late = leftUs < next.serviceUs * MIN_REMAINING_TIME_SHARE;
+      boolean late =
+          nowNanos - LatestStart.nanos(next.callClass.deadlineNanos(), next.serviceUs) > 0;
       if (!late && isRouteLimited(next.callClass.route(), nowNanos)) {
         continue;
       }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -30,7 +30,7 @@
  */
 public final class TargetGateway {
 
-  private static final int DEADLINE_GRACE_MS = 100;
+  private static final long DEADLINE_GRACE_NANOS = 100_000_000L;
   private static final int CLOSED_RETRY_AFTER_MS = 100;
   private static final int CLOSE_EXPIRED_INTERVAL_MS = 1_000;
   private static final int RECENT_CALL_IDS = 4_096;
@@ -60,6 +60,7 @@
     private final boolean idempotent;
     private @Nullable TargetConnection connection;
     private @Nullable CallRun run;
+    private long latestStartNanos;
     private long sentNanos;
     private boolean running;
     private boolean ended;
@@ -79,14 +80,25 @@
       }
       if (!running) {
         queue.cancel(this);
-        complete(MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.CANCELLED, 0, load()));
-        return;
       }
+      end(Reason.CANCELLED);
+    }
+
+    // A call that has a slot but is not sent yet, as its connection is still being established, has
+    // not run and is not sent any more.
+    private void end(Reason reason) {
       TargetConnection used = connection;
       if (used != null) {
         used.abandon();
       }
-      complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.CANCELLED, 0, load()));
+      Outcome outcome = run == null ? Outcome.REFUSED : Outcome.UNKNOWN;
+      complete(MeshResponse.withoutAnswer(outcome, reason, 0, load()));
+    }
+
+    private void endAt(long nanos) {
+      vertx.cancelTimer(timer);
+      long leftMs = Math.max(1, (nanos - time.nanoTime()) / 1_000_000);
+      timer = vertx.setTimer(leftMs, id -> expire(this));
     }
 
     private void complete(MeshResponse response) {
@@ -319,14 +331,13 @@
       gatewayCall.complete(refusal(Reason.EXPIRED, 0));
       return gatewayCall;
     }
-    gatewayCall.timer =
-        vertx.setTimer(call.leftMs() + DEADLINE_GRACE_MS, id -> expire(gatewayCall));
     CallClass callClass =
         new CallClass(
             call.route(),
             call.rank(),
             nowNanos + call.objectiveLeftMs() * 1_000_000L,
             deadlineNanos);
+    gatewayCall.latestStartNanos = queue.latestStartNanos(callClass);
     AdmissionResult<GatewayCall> result = queue.offer(gatewayCall, callClass, nowNanos);
     for (GatewayCall evicted : result.evicted()) {
       evicted.complete(refusal(Reason.FULL, queue.retryAfterMs()));
@@ -334,9 +345,7 @@
     switch (result.decision()) {
       case RUN -> run(gatewayCall);
       case REFUSE -> gatewayCall.complete(refusal(Reason.FULL, result.retryAfterMs()));
-      default -> {
-        // A queued call ends when a slot is freed, at its deadline or when it is cancelled.
-      }
+      default -> gatewayCall.endAt(gatewayCall.latestStartNanos);
     }
     return gatewayCall;
   }
@@ -352,14 +361,8 @@
   private void expire(GatewayCall call) {
     if (!call.running) {
       queue.cancel(call);
-      call.complete(refusal(Reason.EXPIRED, 0));
-      return;
     }
-    TargetConnection used = call.connection;
-    if (used != null) {
-      used.abandon();
-    }
-    call.complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.EXPIRED, 0, load()));
+    call.end(Reason.EXPIRED);
   }
 
   private void applyReleased(AdmissionQueue.Released<GatewayCall> released) {
@@ -386,6 +389,10 @@
           log.unreachable(call.call, error);
           call.complete(refusal(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
+    if (call.run == null && !call.ended) {
+      boolean late = time.nanoTime() - call.latestStartNanos >= 0;
+      call.endAt(late ? call.deadlineNanos : call.latestStartNanos);
+    }
   }
 
   private void send(GatewayCall gatewayCall, TargetConnection connection) {
@@ -406,6 +413,7 @@
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
     gatewayCall.run = diagnostics.recordSent(call, connection);
+    gatewayCall.endAt(gatewayCall.deadlineNanos + DEADLINE_GRACE_NANOS);
     health.recordSent(call, nowNanos);
     connection.send(
         call.id(),
