Request long bodies of calls when there is room for them

A call between nodes carried its whole body at once. Bodies of 60 KB to a node with a link of 10 Mbit/s filled the queue of that link, and short calls on the same link, which have 400 ms, arrived up to 2.9 s late.

A body of more than 16 KB is now offered first. The receiving node refuses an offer that its target or its link has no room for, and otherwise requests the body part by part, in the order of admission, with at most 48 KB on the way. A call whose connection breaks before its body was sent completely is ended as not run. Nodes of earlier releases receive complete calls as before.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -6,7 +6,9 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Admission queue of one target. At most as many calls run as the target has slots, and a call is
@@ -37,12 +39,12 @@
 
   /** A queued call. */
   private static final class QueuedCall<T> {
-    final T call;
+    final @Nullable T call;
     final CallClass callClass;
     final long arrivalNumber;
     final double serviceUs;
 
-    QueuedCall(T call, CallClass callClass, long arrivalNumber, double serviceUs) {
+    QueuedCall(@Nullable T call, CallClass callClass, long arrivalNumber, double serviceUs) {
       this.call = call;
       this.callClass = callClass;
       this.arrivalNumber = arrivalNumber;
@@ -84,6 +86,20 @@
     return urgentQueued;
   }
 
+  /**
+   * Returns the time after which a slot is expected to be free, in milliseconds, if the call would
+   * be refused now.
+   */
+  public OptionalInt refusal(CallClass callClass, long nowNanos) {
+    boolean routeLimited = isRouteLimited(callClass.route(), nowNanos);
+    if (running < slots && !routeLimited) {
+      return OptionalInt.empty();
+    }
+    double serviceUs = serviceTimes.expectedUs(callClass.route());
+    return refusal(
+        new QueuedCall<>(null, callClass, nextArrivalNumber, serviceUs), routeLimited, nowNanos);
+  }
+
   /** Runs, queues or refuses a call. */
   public AdmissionResult<T> offer(T call, CallClass callClass, long nowNanos) {
     double serviceUs = serviceTimes.expectedUs(callClass.route());
@@ -93,14 +109,9 @@
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
-    double waitUs = estimatedWaitUs(queue.headSet(queued));
-    if (routeLimited) {
-      waitUs = Math.max(waitUs, routeWaitUs(queued, nowNanos));
-    }
-    double limitUs = limitUs(callClass, serviceUs, nowNanos);
-    if (slots == 0 || waitUs > limitUs) {
-      int retryAfterMs = (int) Math.max(MIN_RETRY_AFTER_MS, (waitUs - limitUs) / 1000);
-      return new AdmissionResult<>(AdmissionResult.Decision.REFUSE, retryAfterMs, List.of());
+    OptionalInt refusal = refusal(queued, routeLimited, nowNanos);
+    if (refusal.isPresent()) {
+      return new AdmissionResult<>(AdmissionResult.Decision.REFUSE, refusal.getAsInt(), List.of());
     }
     queue.add(queued);
     updateUrgentQueued(queued, 1);
@@ -108,6 +119,18 @@
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
   }
 
+  private OptionalInt refusal(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
+    double waitUs = estimatedWaitUs(queue.headSet(call));
+    if (routeLimited) {
+      waitUs = Math.max(waitUs, routeWaitUs(call, nowNanos));
+    }
+    double limitUs = limitUs(call.callClass, call.serviceUs, nowNanos);
+    if (slots > 0 && waitUs <= limitUs) {
+      return OptionalInt.empty();
+    }
+    return OptionalInt.of((int) Math.max(MIN_RETRY_AFTER_MS, (waitUs - limitUs) / 1000));
+  }
+
   /**
    * Records the end of a nested call that a running call has made.
    *
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -41,6 +41,9 @@
   private static final int STOPPED_TARGET = 13;
   private static final int STATE_DELTAS = 14;
   private static final int RESPONSE_PART = 15;
+  private static final int CALL_OFFER = 30;
+  private static final int BODY_CREDIT = 31;
+  private static final int BODY_PART = 32;
 
   private final StringDictionary dictionary = new StringDictionary();
 
@@ -68,7 +71,7 @@
       out.packInt(HELLO);
       writeNode(out, hello.node());
       out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes()).packLong(hello.sentMs());
-      out.packBoolean(hello.acceptsParts());
+      out.packBoolean(hello.acceptsParts()).packBoolean(hello.acceptsOffers());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
@@ -79,6 +82,16 @@
       writeCall(out, call.call());
       out.packLong(call.sentMs());
       dictionary.write(out, call.call().account());
+    } else if (message instanceof PeerMessage.CallOffer offer) {
+      out.packInt(CALL_OFFER).packLong(offer.callNumber()).packInt(offer.bodyBytes());
+      writeCall(out, offer.call());
+      out.packLong(offer.sentMs());
+      dictionary.write(out, offer.call().account());
+    } else if (message instanceof PeerMessage.BodyCredit credit) {
+      out.packInt(BODY_CREDIT).packLong(credit.callNumber()).packInt(credit.bytes());
+    } else if (message instanceof PeerMessage.BodyPart part) {
+      out.packInt(BODY_PART).packLong(part.callNumber());
+      PackedFields.writeBytes(out, part.bytes());
     } else if (message instanceof PeerMessage.Response response) {
       out.packInt(RESPONSE).packLong(response.callNumber());
       writeResponse(out, response.response());
@@ -132,6 +145,7 @@
               in.unpackLong(),
               in.unpackBoolean(),
               PackedFields.readOptionalLong(in),
+              in.hasNext() && in.unpackBoolean(),
               in.hasNext() && in.unpackBoolean());
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
@@ -142,6 +156,16 @@
         String account = in.hasNext() ? dictionary.read(in) : "";
         yield new PeerMessage.Call(number, call.withAccount(account), sentMs);
       }
+      case CALL_OFFER -> {
+        long number = in.unpackLong();
+        int bodyBytes = in.unpackInt();
+        MeshCall call = readCall(in);
+        long sentMs = in.unpackLong();
+        MeshCall complete = call.withAccount(dictionary.read(in));
+        yield new PeerMessage.CallOffer(number, complete, bodyBytes, sentMs);
+      }
+      case BODY_CREDIT -> new PeerMessage.BodyCredit(in.unpackLong(), in.unpackInt());
+      case BODY_PART -> new PeerMessage.BodyPart(in.unpackLong(), PackedFields.readBytes(in));
       case RESPONSE -> new PeerMessage.Response(in.unpackLong(), readResponse(in));
       case RESPONSE_PART ->
           new PeerMessage.ResponsePart(in.unpackLong(), PackedFields.readBytes(in));
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -21,9 +21,16 @@
    * @param sentMs monotonic time of the sender, 0 if unknown
    * @param acceptsParts whether the sender can read {@link ResponsePart}; nodes of earlier releases
    *     cannot
+   * @param acceptsOffers whether the sender can read {@link CallOffer}; nodes of earlier releases
+   *     cannot
    */
   record Hello(
-      NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs, boolean acceptsParts)
+      NodeRecord node,
+      long rowVersion,
+      boolean wantsNodes,
+      long sentMs,
+      boolean acceptsParts,
+      boolean acceptsOffers)
       implements PeerMessage {}
 
   /**
@@ -46,6 +53,33 @@
    */
   record Call(long callNumber, MeshCall call, long sentMs) implements PeerMessage {}
 
+  /**
+   * Call with a long body, which the sender keeps until the receiver requests it.
+   *
+   * @param callNumber number of the call on this connection
+   * @param call call to execute, without its body
+   * @param bodyBytes length of the body
+   * @param sentMs monotonic time of the sender, 0 if unknown
+   */
+  record CallOffer(long callNumber, MeshCall call, int bodyBytes, long sentMs)
+      implements PeerMessage {}
+
+  /**
+   * Request for the next bytes of the body of an offered call.
+   *
+   * @param callNumber number of the call on this connection
+   * @param bytes number of bytes that the receiver takes in addition to those requested before
+   */
+  record BodyCredit(long callNumber, int bytes) implements PeerMessage {}
+
+  /**
+   * Part of the body of an offered call.
+   *
+   * @param callNumber number of the call on this connection
+   * @param bytes next bytes of the body
+   */
+  record BodyPart(long callNumber, byte[] bytes) implements PeerMessage {}
+
   /**
    * Response to a call.
    *
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -40,7 +40,7 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
@@ -50,6 +50,7 @@
     assertRoundTrip(
         new PeerMessage.StoppedTarget(
             new TargetStatus("i", 1, "s", "v", TargetPhase.GONE, 0, 0, false, 2)));
+    assertRoundTrip(new PeerMessage.BodyCredit(3, 16_384));
     assertRoundTrip(new PeerMessage.Cancel(3));
     assertRoundTrip(new PeerMessage.Ping(1));
     assertRoundTrip(new PeerMessage.Pong(1));
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundBodies.java
@@ -0,0 +1,140 @@
+package org.acaciapond.sidecar.peer;
+
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
+import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.admission.BodySchedule;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.sidecar.target.TargetGateway;
+
+/**
+ * Calls with long bodies that other nodes offer to the local target. Their bodies are requested
+ * when the target would admit the call, in the order of {@link BodySchedule}. A call whose body has
+ * arrived is submitted like any other.
+ */
+final class InboundBodies {
+
+  private static final int MAX_BODY_BYTES = 17 << 20;
+
+  private final Vertx vertx;
+  private final TargetGateway gateway;
+  private final TimeSource time;
+  private final BodySchedule<Offer> schedule = new BodySchedule<>();
+
+  /** Offered call whose body has not arrived completely. */
+  static final class Offer {
+    private final long callNumber;
+    private final MeshCall call;
+    private final long offeredNanos;
+    private final Consumer<PeerMessage> sender;
+    private final Consumer<MeshResponse> onRefused;
+    private final Consumer<MeshCall> onComplete;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private long timer = -1;
+
+    private Offer(
+        long callNumber,
+        MeshCall call,
+        long offeredNanos,
+        Consumer<PeerMessage> sender,
+        Consumer<MeshResponse> onRefused,
+        Consumer<MeshCall> onComplete) {
+      this.callNumber = callNumber;
+      this.call = call;
+      this.offeredNanos = offeredNanos;
+      this.sender = sender;
+      this.onRefused = onRefused;
+      this.onComplete = onComplete;
+    }
+  }
+
+  InboundBodies(Vertx vertx, TargetGateway gateway, TimeSource time) {
+    this.vertx = vertx;
+    this.gateway = gateway;
+    this.time = time;
+  }
+
+  /**
+   * Accepts or refuses an offered call.
+   *
+   * @param message the offer
+   * @param call the offered call with the times that are left now
+   * @param sender sends a message to the node that offers the call
+   * @param onRefused receives the response, possibly before this method returns
+   * @param onComplete receives the call with its body and the times that are left then
+   */
+  Offer accept(
+      PeerMessage.CallOffer message,
+      MeshCall call,
+      Consumer<PeerMessage> sender,
+      Consumer<MeshResponse> onRefused,
+      Consumer<MeshCall> onComplete) {
+    long nowNanos = time.nanoTime();
+    Offer offer = new Offer(message.callNumber(), call, nowNanos, sender, onRefused, onComplete);
+    MeshResponse refusal = gateway.refusalNow(call);
+    if (refusal != null) {
+      onRefused.accept(refusal);
+      return offer;
+    }
+    if (message.bodyBytes() <= 0 || message.bodyBytes() > MAX_BODY_BYTES) {
+      onRefused.accept(gateway.refusal(Reason.BROKEN, 0));
+      return offer;
+    }
+    OptionalInt retryAfterMs =
+        schedule.offer(
+            offer,
+            gateway.callClass(call),
+            message.bodyBytes(),
+            gateway.expectedServiceUs(call),
+            nowNanos);
+    if (retryAfterMs.isPresent()) {
+      onRefused.accept(gateway.refusal(Reason.FULL, retryAfterMs.getAsInt()));
+      return offer;
+    }
+    long untilLatestStartMs = (gateway.latestStartNanos(call) - nowNanos) / 1_000_000;
+    offer.timer = vertx.setTimer(Math.max(1, untilLatestStartMs), id -> expire(offer));
+    gateway.setAnnouncedCalls(schedule.size());
+    requestBodies();
+    return offer;
+  }
+
+  private void expire(Offer offer) {
+    cancel(offer);
+    offer.onRefused.accept(gateway.refusal(Reason.EXPIRED, 0));
+  }
+
+  /** Drops an offer that its caller cancelled, or that can no longer be answered. */
+  void cancel(Offer offer) {
+    schedule.remove(offer, time.nanoTime());
+    vertx.cancelTimer(offer.timer);
+    gateway.setAnnouncedCalls(schedule.size());
+    requestBodies();
+  }
+
+  /** Adds bytes that have arrived. */
+  void receive(Offer offer, byte[] bytes) {
+    offer.body.writeBytes(bytes);
+    long nowNanos = time.nanoTime();
+    if (schedule.receive(offer, bytes.length, nowNanos)) {
+      vertx.cancelTimer(offer.timer);
+      gateway.setAnnouncedCalls(schedule.size());
+      int elapsedMs = (int) ((nowNanos - offer.offeredNanos) / 1_000_000);
+      offer.onComplete.accept(
+          offer.call.withBody(offer.body.toByteArray()).afterTransit(elapsedMs));
+    }
+    requestBodies();
+  }
+
+  /** Requests more bytes; called periodically as well, in case that a sender does not send. */
+  void requestBodies() {
+    for (BodySchedule.Request<Offer> request : schedule.nextRequests(time.nanoTime())) {
+      Offer offer = request.offer();
+      offer.sender.accept(new PeerMessage.BodyCredit(offer.callNumber, request.bytes()));
+    }
+  }
+}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -13,6 +13,8 @@
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.SocketServer;
+import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.peer.TransitDelay;
@@ -30,6 +32,7 @@
   private final SocketServer server;
   private final Context context;
   private final TargetGateway gateway;
+  private final InboundBodies bodies;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
   private final Handshake handshake;
@@ -54,6 +57,7 @@
     // Calls whose cancellation may be among the bytes that have arrived but are not read yet.
     final Set<Long> receivedCalls = new HashSet<>();
     final Map<Long, TargetGateway.GatewayCall> calls = new HashMap<>();
+    final Map<Long, InboundBodies.Offer> offers = new HashMap<>();
     final ResponseWriter responses;
     TransitDelay transit = new TransitDelay();
     String key = "";
@@ -77,6 +81,7 @@
     this.context = vertx.getOrCreateContext();
     this.server = new SocketServer(vertx, self.host(), self.port(), this::accept);
     this.gateway = gateway;
+    this.bodies = new InboundBodies(vertx, gateway, time);
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
     this.handshake = handshake;
@@ -99,6 +104,11 @@
     return connections.values().stream().mapToInt(each -> each.responses.pendingBytes()).sum();
   }
 
+  /** Requests bytes of bodies that are due. */
+  void requestBodies() {
+    bodies.requestBodies();
+  }
+
   /** Sends a message on all connections. */
   void publish(PeerMessage message) {
     connections.keySet().forEach(socket -> socket.send(message));
@@ -156,6 +166,10 @@
     }
     if (message instanceof PeerMessage.Call call) {
       onCall(connection, call);
+    } else if (message instanceof PeerMessage.CallOffer offer) {
+      onOffer(socket, connection, offer);
+    } else if (message instanceof PeerMessage.BodyPart part) {
+      onBodyPart(connection, part);
     } else if (message instanceof PeerMessage.Cancel cancel) {
       onCancel(connection, cancel.callNumber());
     } else if (message instanceof PeerMessage.Ping ping) {
@@ -173,8 +187,12 @@
     }
   }
 
-  private static void onCancel(InboundConnection connection, long callNumber) {
+  private void onCancel(InboundConnection connection, long callNumber) {
     connection.receivedCalls.remove(callNumber);
+    InboundBodies.Offer offer = connection.offers.remove(callNumber);
+    if (offer != null) {
+      bodies.cancel(offer);
+    }
     connection.responses.cancel(callNumber);
     TargetGateway.GatewayCall running = connection.calls.remove(callNumber);
     if (running != null) {
@@ -186,50 +204,95 @@
     return sentMs == 0 ? 0 : connection.transit.measureMs(sentMs, time.nanoTime());
   }
 
-  private void onCall(InboundConnection connection, PeerMessage.Call message) {
-    int transitMs = transitMs(connection, message.sentMs());
+  private MeshCall afterTransit(InboundConnection connection, MeshCall call, long sentMs) {
+    int transitMs = transitMs(connection, sentMs);
     if (transitMs > LATE_CALL_MS) {
       log.request(
           "call_late",
           "id",
-          message.call().id(),
+          call.id(),
           "peer",
           connection.key,
           "transit_ms",
           transitMs,
           "left_ms",
-          message.call().leftMs());
+          call.leftMs());
+    }
+    return call.afterTransit(transitMs);
+  }
+
+  private void onCall(InboundConnection connection, PeerMessage.Call message) {
+    MeshCall call = afterTransit(connection, message.call(), message.sentMs());
+    submitUnlessCancelled(connection, message.callNumber(), call);
+  }
+
+  private void onOffer(
+      PeerSocket socket, InboundConnection connection, PeerMessage.CallOffer message) {
+    long number = message.callNumber();
+    boolean[] ended = {false};
+    InboundBodies.Offer offer =
+        bodies.accept(
+            message,
+            afterTransit(connection, message.call(), message.sentMs()),
+            socket::send,
+            refusal -> {
+              ended[0] = true;
+              connection.offers.remove(number);
+              respond(connection, number, refusal);
+            },
+            call -> {
+              connection.offers.remove(number);
+              submitUnlessCancelled(connection, number, call);
+            });
+    if (!ended[0]) {
+      connection.offers.put(number, offer);
+    }
+  }
+
+  private void onBodyPart(InboundConnection connection, PeerMessage.BodyPart part) {
+    InboundBodies.Offer offer = connection.offers.get(part.callNumber());
+    if (offer != null) {
+      bodies.receive(offer, part.bytes());
     }
-    connection.receivedCalls.add(message.callNumber());
+  }
+
+  private void submitUnlessCancelled(InboundConnection connection, long callNumber, MeshCall call) {
+    connection.receivedCalls.add(callNumber);
     context.runOnContext(
         on -> {
-          if (connection.receivedCalls.remove(message.callNumber())) {
-            submit(connection, message, transitMs);
+          if (connection.receivedCalls.remove(callNumber)) {
+            submit(connection, callNumber, call);
           }
         });
   }
 
-  private void submit(InboundConnection connection, PeerMessage.Call message, int transitMs) {
+  private void submit(InboundConnection connection, long callNumber, MeshCall call) {
     boolean[] completed = {false};
-    TargetGateway.GatewayCall call =
+    TargetGateway.GatewayCall submitted =
         gateway.submit(
-            message.call().afterTransit(transitMs),
+            call,
             response -> {
               completed[0] = true;
-              connection.calls.remove(message.callNumber());
-              connection.loadSentNanos = time.nanoTime();
-              connection.responses.write(message.callNumber(), response);
+              connection.calls.remove(callNumber);
+              respond(connection, callNumber, response);
             });
     if (!completed[0]) {
-      connection.calls.put(message.callNumber(), call);
+      connection.calls.put(callNumber, submitted);
     }
   }
 
+  private void respond(InboundConnection connection, long callNumber, MeshResponse response) {
+    connection.loadSentNanos = time.nanoTime();
+    connection.responses.write(callNumber, response);
+  }
+
   private void onClosed(PeerSocket socket) {
     InboundConnection connection = connections.remove(socket);
     if (connection != null) {
       // The caller can no longer receive the responses.
       connection.receivedCalls.clear();
+      connection.offers.values().forEach(bodies::cancel);
+      connection.offers.clear();
       new ArrayList<>(connection.calls.values()).forEach(TargetGateway.GatewayCall::cancel);
     }
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -26,6 +26,9 @@
   private static final int MIN_BACKOFF_MS = 50;
   private static final int MAX_BACKOFF_MS = 1_000;
   private static final int MAX_INCOMPLETE_RESPONSE_BYTES = 8 << 20;
+  // Longer bodies are sent when the other node requests them.
+  private static final int MAX_UNREQUESTED_BODY_BYTES = 16 << 10;
+  private static final byte[] EMPTY_BODY = new byte[0];
 
   private final Vertx vertx;
   private final NetClient client;
@@ -35,9 +38,11 @@
   private final LivenessCheck liveness;
   private final Map<Long, Consumer<MeshResponse>> calls = new HashMap<>();
   private final ResponseParts responseParts = new ResponseParts(MAX_INCOMPLETE_RESPONSE_BYTES);
+  private final OfferedBodies offeredBodies = new OfferedBodies();
   private NodeRecord node;
   private @Nullable PeerSocket socket;
   private boolean readsStore = true;
+  private boolean acceptsOffers;
   private boolean connecting;
   private boolean stopped;
   private int backoffMs = MIN_BACKOFF_MS;
@@ -158,12 +163,18 @@
     if (message instanceof PeerMessage.Response response) {
       MeshResponse complete = responseParts.complete(response);
       Consumer<MeshResponse> callback = calls.remove(response.callNumber());
+      offeredBodies.remove(response.callNumber());
       if (callback != null) {
         callback.accept(complete);
       }
     } else if (message instanceof PeerMessage.ResponsePart part) {
       onResponsePart(part);
+    } else if (message instanceof PeerMessage.BodyCredit credit) {
+      offeredBodies.send(credit, from::send);
     } else if (!(message instanceof PeerMessage.Pong)) {
+      if (message instanceof PeerMessage.Hello hello) {
+        acceptsOffers = hello.acceptsOffers();
+      }
       listener.onMessage(this, message);
     }
   }
@@ -180,16 +191,23 @@
     if (socket == closed) {
       socket = null;
       listener.onDisconnected(this, "closed");
-      List<Consumer<MeshResponse>> pending = new ArrayList<>(calls.values());
+      acceptsOffers = false;
+      List<Runnable> ends = new ArrayList<>();
+      calls.forEach((number, call) -> ends.add(endOfBrokenCall(number, call)));
       calls.clear();
       responseParts.clear();
-      pending.forEach(callback -> callback.accept(connectionBroken()));
+      offeredBodies.clear();
+      ends.forEach(Runnable::run);
       reconnectLater();
     }
   }
 
-  private static MeshResponse connectionBroken() {
-    return MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.NODE_LOST, 0, TargetLoad.NONE);
+  private Runnable endOfBrokenCall(long callNumber, Consumer<MeshResponse> callback) {
+    MeshResponse end =
+        offeredBodies.isIncomplete(callNumber)
+            ? MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE)
+            : MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.NODE_LOST, 0, TargetLoad.NONE);
+    return () -> callback.accept(end);
   }
 
   void send(PeerMessage message) {
@@ -212,15 +230,28 @@
       pendingSinceNanos = time.nanoTime();
     }
     calls.put(callNumber, callback);
-    current.send(new PeerMessage.Call(callNumber, call, time.nanoTime() / 1_000_000));
+    sendCall(current, callNumber, call);
     return () -> {
       if (calls.remove(callNumber) != null) {
+        offeredBodies.remove(callNumber);
         responseParts.remove(callNumber);
         current.send(new PeerMessage.Cancel(callNumber));
       }
     };
   }
 
+  private void sendCall(PeerSocket current, long callNumber, MeshCall call) {
+    long nowMs = time.nanoTime() / 1_000_000;
+    byte[] body = call.body();
+    if (!acceptsOffers || body.length <= MAX_UNREQUESTED_BODY_BYTES) {
+      current.send(new PeerMessage.Call(callNumber, call, nowMs));
+      return;
+    }
+    offeredBodies.add(callNumber, body);
+    current.send(
+        new PeerMessage.CallOffer(callNumber, call.withBody(EMPTY_BODY), body.length, nowMs));
+  }
+
   /**
    * Probes a connection that has been silent, or closes one that did not respond to its probe.
    *
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -280,7 +280,7 @@
 
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(
-        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true);
+        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true, true);
   }
 
   private void check() {
@@ -289,6 +289,7 @@
     lastCheckNanos = nowNanos;
     links.values().forEach(link -> link.check(onTime));
     inbound.sendLoadToWaitingPeers(CHECK_INTERVAL_MS);
+    inbound.requestBodies();
     stateExchange.check();
     announceClockStep(nowNanos);
     metrics.setConnectedPeers(connectedPeerCount());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar.target;
 
 import io.vertx.core.Vertx;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
@@ -51,6 +52,7 @@
   private boolean nodeLeaving;
   private boolean admissionStarted;
   private long statusNumber;
+  private int announcedCalls;
 
   /** One call that is queued for the target or runs in it. */
   public final class GatewayCall {
@@ -284,7 +286,13 @@
 
   /** Returns the current load. */
   public TargetLoad load() {
-    return health.load(queue.running(), queue.queued(), queue.urgentQueued(), time.nanoTime());
+    return health.load(
+        queue.running(), queue.queued() + announcedCalls, queue.urgentQueued(), time.nanoTime());
+  }
+
+  /** Sets the number of accepted calls whose bodies are still on their way. */
+  public void setAnnouncedCalls(int count) {
+    announcedCalls = count;
   }
 
   /** Returns the call with this id that runs in the target, or null. */
@@ -310,7 +318,40 @@
 
   /** Returns the number of running and queued calls. */
   public int pendingCallCount() {
-    return queue.running() + queue.queued();
+    return queue.running() + queue.queued() + announcedCalls;
+  }
+
+  /** Returns the refusal of a call that would be refused now, or null. */
+  public @Nullable MeshResponse refusalNow(MeshCall call) {
+    Reason refusalReason = refusalReason(call);
+    if (refusalReason != null) {
+      return refusal(refusalReason, CLOSED_RETRY_AFTER_MS);
+    }
+    if (call.leftMs() <= 0) {
+      return refusal(Reason.EXPIRED, 0);
+    }
+    OptionalInt retryAfterMs = queue.refusal(callClass(call), time.nanoTime());
+    return retryAfterMs.isPresent() ? refusal(Reason.FULL, retryAfterMs.getAsInt()) : null;
+  }
+
+  /** Returns the properties by which a call that arrives now is admitted. */
+  public CallClass callClass(MeshCall call) {
+    long nowNanos = time.nanoTime();
+    return new CallClass(
+        call.route(),
+        call.rank(),
+        nowNanos + call.objectiveLeftMs() * 1_000_000L,
+        nowNanos + call.leftMs() * 1_000_000L);
+  }
+
+  /** Returns the latest time at which it is worth starting a call that arrives now. */
+  public long latestStartNanos(MeshCall call) {
+    return queue.latestStartNanos(callClass(call));
+  }
+
+  /** Returns the expected service time of a call in microseconds. */
+  public double expectedServiceUs(MeshCall call) {
+    return health.serviceTimes().expectedUs(call.route());
   }
 
   /**
@@ -374,7 +415,8 @@
     }
   }
 
-  private MeshResponse refusal(Reason reason, int retryAfterMs) {
+  /** Returns the response to a call that is refused. */
+  public MeshResponse refusal(Reason reason, int retryAfterMs) {
     return MeshResponse.withoutAnswer(Outcome.REFUSED, reason, retryAfterMs, load());
   }
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
@@ -134,9 +134,9 @@
     NodeRecord self = new NodeRecord("n2", TestMachine.HOST, port, "z", "orders", 1);
     TestPeer introduction = new TestPeer(deployment.vertx);
     introduction.connect(machine.settings.peer().port());
-    introduction.send(new PeerMessage.Hello(self, -1, false, 0, false));
+    introduction.send(new PeerMessage.Hello(self, -1, false, 0, false, false));
 
-    peer.send(new PeerMessage.Hello(self, 1_000, false, 0, false));
+    peer.send(new PeerMessage.Hello(self, 1_000, false, 0, false, false));
     assertNotNull(peer.await(PeerMessage.StateRequest.class, WAIT_MS));
     TargetStatus status =
         new TargetStatus("", 0, "orders", "", TargetPhase.UNKNOWN, 0, 0, false, 1);
