Measure congestion of urgent nested calls by urgent queued calls

Nested calls of urgent requests go before less urgent calls, so the queue of the latter, and calls whose bodies are on their way, say nothing about their wait.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -389,8 +389,8 @@
   // fewer running requests do not shorten.
   private boolean isFromCongestedTarget(MeshResponse response) {
     Candidate last = lastCandidate;
-    return last != null
-        && response.load().queued() >= LONG_QUEUE_SLOTS * Math.max(1, last.status().slots());
+    int ahead = CallRank.isUrgent(rank) ? response.load().urgentQueued() : response.load().queued();
+    return last != null && ahead >= LONG_QUEUE_SLOTS * Math.max(1, last.status().slots());
   }
 
   private void recordNestedCall(boolean congested) {
