--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/BodySchedule.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/BodySchedule.java
@@ -177,20 +177,26 @@
     List<Request<T>> requests = new ArrayList<>();
     int due = dueBytes(nowNanos);
     for (Body<T> body : bodies) {
-      int bytes = 0;
-      while (due < WINDOW_BYTES
-          && body.dueBytes() < BODY_WINDOW_BYTES
-          && body.requestedBytes < body.bytes) {
-        int part = Math.min(PART_BYTES, body.bytes - body.requestedBytes);
-        body.progressNanos = body.dueBytes() == 0 ? nowNanos : body.progressNanos;
-        body.requestedBytes += part;
-        bytes += part;
-        due += part;
-      }
+      int bytes = requestParts(body, WINDOW_BYTES - due, nowNanos);
       if (bytes > 0) {
+        due += bytes;
         requests.add(new Request<>(body.offer, bytes));
       }
     }
     return requests;
   }
+
+  private int requestParts(Body<T> body, int maxBytes, long nowNanos) {
+    int bytes = 0;
+    while (body.requestedBytes < body.bytes) {
+      int part = Math.min(PART_BYTES, body.bytes - body.requestedBytes);
+      if (bytes + part > maxBytes || body.dueBytes() + part > BODY_WINDOW_BYTES) {
+        break;
+      }
+      body.progressNanos = body.dueBytes() == 0 ? nowNanos : body.progressNanos;
+      body.requestedBytes += part;
+      bytes += part;
+    }
+    return bytes;
+  }
 }
