Tell refused clients times that no other client was told

A refusal told its client the shortest wait of the targets that refused it, regardless of how many clients were told the same; most came back and were refused again. Each node now keeps a schedule of returns for each service, fed by the rate at which its requests are served. A client that comes back when it was told is recognized by its deadline and ordered by the objective of its first try.

While targets refuse most requests of a rank, the node refuses a part of them itself, without a call (adaptive throttling), except requests of clients that come back in time and nested calls.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.acaciapond.http.HttpResponse;
 import org.acaciapond.mesh.account.Access;
 import org.acaciapond.mesh.account.AccountDirectory;
+import org.acaciapond.mesh.admission.ServiceRoom;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -39,7 +40,9 @@
   private static final double DEFAULT_RESPONSE_BYTES = 1_000;
   private static final double RESPONSE_BYTES_SMOOTHING_FACTOR = 0.05;
   private static final int MAX_ROUTES = 4_096;
+  private static final int MAX_SERVICES = 4_096;
   private static final int DEFAULT_TIMEOUT_MS = 60_000;
+  private static final long NANOS_PER_MS = 1_000_000L;
 
   final Vertx vertx;
   final SidecarSettings settings;
@@ -60,6 +63,7 @@
   private final List<String> systemHeadersWithCredentials;
   final AttemptLatencies latencies = new AttemptLatencies();
   private final Map<String, Double> responseBytes = new HashMap<>();
+  private final Map<String, ServiceRoom> rooms = new HashMap<>();
   private boolean refusing;
   private final Set<RoutedRequest> openRequests = new LinkedHashSet<>();
 
@@ -165,10 +169,15 @@
       return;
     }
     String service = route.selectService(random.getAsDouble());
+    long clientDeadlineNanos = exchange.receivedNanos() + clientTimeoutMs * NANOS_PER_MS;
     RoutedRequest request =
         new RoutedRequest(
             this,
             exchange,
+            clientDeadlineNanos,
+            room(service)
+                .returns()
+                .takeFirstReceivedNanos(route.name(), clientDeadlineNanos, time.nanoTime()),
             forwardedHeaders(exchange, accounts),
             id,
             route,
@@ -210,6 +219,14 @@
     }
   }
 
+  /** Returns what this node knows of the room at the targets of a service. */
+  ServiceRoom room(String service) {
+    if (rooms.size() >= MAX_SERVICES && !rooms.containsKey(service)) {
+      rooms.clear();
+    }
+    return rooms.computeIfAbsent(service, key -> new ServiceRoom(random));
+  }
+
   void requestEnded(RoutedRequest request) {
     openRequests.remove(request);
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
@@ -13,11 +13,20 @@
   private final int limitMs;
   private final int objectiveMs;
 
-  RequestTimes(TimeSource time, long receivedNanos, int limitMs, Route route) {
+  /**
+   * Creates the times of a request.
+   *
+   * @param firstReceivedNanos when the first try of the request was received, if its client came
+   *     back after a refusal; the objective counts from then unless it has passed
+   */
+  RequestTimes(
+      TimeSource time, long receivedNanos, long firstReceivedNanos, int limitMs, Route route) {
     this.time = time;
     this.receivedNanos = receivedNanos;
     this.limitMs = limitMs;
-    this.objectiveMs = route.objectiveMs() > 0 ? Math.min(route.objectiveMs(), limitMs) : limitMs;
+    int fullMs = route.objectiveMs() > 0 ? route.objectiveMs() : limitMs;
+    int leftMs = fullMs - (int) ((receivedNanos - firstReceivedNanos) / NANOS_PER_MS);
+    this.objectiveMs = Math.min(limitMs, leftMs > 0 ? leftMs : fullMs);
   }
 
   int limitMs() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -10,6 +10,8 @@
 import org.acaciapond.http.HttpResponse;
 import org.acaciapond.mesh.account.ClientAccount;
 import org.acaciapond.mesh.admission.CallRank;
+import org.acaciapond.mesh.admission.ReturnSchedule;
+import org.acaciapond.mesh.admission.ServiceRoom;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
@@ -48,7 +50,12 @@
   private final String id;
   private final Route route;
   private final String service;
+  private final ServiceRoom room;
   private final RequestTimes times;
+  private final long clientDeadlineNanos;
+  private final long firstReceivedNanos;
+  // Whether the client comes back at the time that it was told.
+  private final boolean returned;
   private final double draw;
   // Call that runs in the local target and made this request; null for requests of clients.
   private final @Nullable MeshCall parent;
@@ -65,6 +72,8 @@
   private int refusals;
   private int retryAfterMs = Integer.MAX_VALUE;
   private Reason lastReason = Reason.NO_TARGET;
+  // Time that the client was told to come back after, according to the schedule of the service.
+  private int toldMs;
   private boolean mayHaveRun;
   private boolean ended;
   private long deadlineTimer = -1;
@@ -73,6 +82,8 @@
   RoutedRequest(
       RequestRouter router,
       HttpExchange exchange,
+      long clientDeadlineNanos,
+      @Nullable Long firstReceivedNanos,
       List<String> headers,
       String id,
       Route route,
@@ -87,7 +98,14 @@
     this.id = id;
     this.route = route;
     this.service = service;
-    this.times = new RequestTimes(router.time, exchange.receivedNanos(), limitMs, route);
+    this.room = router.room(service);
+    this.clientDeadlineNanos = clientDeadlineNanos;
+    this.returned = firstReceivedNanos != null;
+    this.firstReceivedNanos =
+        firstReceivedNanos == null ? exchange.receivedNanos() : firstReceivedNanos;
+    this.times =
+        new RequestTimes(
+            router.time, exchange.receivedNanos(), this.firstReceivedNanos, limitMs, route);
     this.draw = draw;
     this.parent = parent;
     this.rank =
@@ -111,9 +129,19 @@
       return;
     }
     deadlineTimer = router.vertx.setTimer(leftMs, timerId -> onDeadline());
+    if (isThrottled()) {
+      lastReason = Reason.FULL;
+      finishWithoutSuccess();
+      return;
+    }
     sendNextAttempt();
   }
 
+  // Refusing a nested call would waste the work done for its request.
+  private boolean isThrottled() {
+    return parent == null && !room.throttle(rank).allows(router.time.nanoTime()) && !returned;
+  }
+
   private void sendNextAttempt() {
     if (times.leftMs() <= 0) {
       onDeadline();
@@ -255,6 +283,7 @@
     if (response.reason() != Reason.NONE) {
       lastReason = response.reason();
     }
+    recordRoom(response);
     reportCallResult(attempt, response);
     switch (response.outcome()) {
       case ANSWERED -> onTargetResponse(response);
@@ -274,6 +303,18 @@
     }
   }
 
+  private void recordRoom(MeshResponse response) {
+    long nowNanos = router.time.nanoTime();
+    if (response.outcome() == Outcome.ANSWERED) {
+      room.returns().recordServed(nowNanos);
+    }
+    if (response.outcome() != Outcome.REFUSED) {
+      room.throttle(rank).recordAdmitted(nowNanos);
+    } else if (response.reason() == Reason.FULL) {
+      room.throttle(rank).recordRefused(response.retryAfterMs());
+    }
+  }
+
   private void retryOrEnd(boolean allowed) {
     if (!openAttempts.isEmpty()) {
       return;
@@ -418,7 +459,7 @@
     if (mayHaveRun) {
       finish(502, endName("failed"), HttpResponse.empty(502, List.of()));
     } else {
-      int afterMs = retryAfterMs == Integer.MAX_VALUE ? NO_TARGET_RETRY_AFTER_MS : retryAfterMs;
+      int afterMs = retryAfterMs();
       finish(
           503,
           endName("refused"),
@@ -426,6 +467,20 @@
     }
   }
 
+  private int retryAfterMs() {
+    boolean known = retryAfterMs != Integer.MAX_VALUE;
+    if (lastReason != Reason.FULL || parent != null) {
+      return known ? retryAfterMs : NO_TARGET_RETRY_AFTER_MS;
+    }
+    toldMs =
+        room.returns()
+            .retryAfterMs(
+                new ReturnSchedule.Refused(route.name(), clientDeadlineNanos, firstReceivedNanos),
+                known ? retryAfterMs : room.throttle(rank).waitMs(),
+                router.time.nanoTime());
+    return toldMs;
+  }
+
   private String endName(String prefix) {
     return prefix + "_" + lastReason.name().toLowerCase(Locale.ROOT);
   }
@@ -472,6 +527,10 @@
         sentToTargets,
         "refusals",
         refusals,
+        "returned",
+        returned,
+        "told_ms",
+        toldMs,
         "last_peer",
         lastTried == null ? "" : lastTried.node());
     if (response != null) {
