Offer calls that must not run twice on quiet connections first

A call that is not idempotent is now offered first if nothing was received on the connection for 250 ms. If the offer is not answered within 150 ms, the call certainly has not run and is sent to another target. At its deadline a request whose open calls were not handed over ends with 503 instead of 504.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/Attempt.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/Attempt.java
@@ -1,5 +1,6 @@
 package org.acaciapond.sidecar.call;
 
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.target.Candidate;
 import org.acaciapond.mesh.target.TargetStatus;
 import org.jspecify.annotations.Nullable;
@@ -12,7 +13,7 @@
   final TargetStatus target;
   final long startNanos;
   boolean done;
-  @Nullable Runnable canceller;
+  @Nullable OpenCall call;
 
   Attempt(Candidate candidate, long startNanos) {
     this.candidate = candidate;
@@ -22,11 +23,17 @@
 
   /** Cancels the call unless it has ended. */
   void cancel() {
-    Runnable current = canceller;
-    canceller = null;
+    OpenCall current = call;
+    call = null;
     if (current != null && !done) {
       done = true;
-      current.run();
+      current.cancel();
     }
   }
+
+  /** Returns whether the target may have been handed the call. */
+  boolean mayHaveRun() {
+    OpenCall current = call;
+    return current == null || current.mayHaveRun();
+  }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -14,6 +14,7 @@
 import org.acaciapond.mesh.admission.ServiceRoom;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.route.Route;
@@ -211,10 +212,10 @@
     Attempt attempt = new Attempt(chosen, nowNanos);
     openAttempts.add(attempt);
     router.callObserver.onCallSent(attempt.target);
-    Runnable canceller =
+    OpenCall openCall =
         router.network.call(chosen, call, response -> onAttemptEnded(attempt, response));
     if (!attempt.done) {
-      attempt.canceller = canceller;
+      attempt.call = openCall;
       scheduleHedgedAttempt(objectiveLeftMs, leftMs);
     }
   }
@@ -252,7 +253,7 @@
 
   private void onAttemptEnded(Attempt attempt, MeshResponse response) {
     attempt.done = true;
-    attempt.canceller = null;
+    attempt.call = null;
     openAttempts.remove(attempt);
     if (!ended) {
       if (response.outcome() == Outcome.ANSWERED && response.status() < 300) {
@@ -495,7 +496,8 @@
       return;
     }
     recordNestedFailure();
-    int status = !openAttempts.isEmpty() || mayHaveRun ? 504 : 503;
+    mayHaveRun |= openAttempts.stream().anyMatch(Attempt::mayHaveRun);
+    int status = mayHaveRun ? 504 : 503;
     finish(status, "deadline", HttpResponse.empty(status, List.of()));
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundBodies.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundBodies.java
@@ -81,10 +81,14 @@
       onRefused.accept(refusal);
       return offer;
     }
-    if (message.bodyBytes() <= 0 || message.bodyBytes() > MAX_BODY_BYTES) {
+    if (message.bodyBytes() < 0 || message.bodyBytes() > MAX_BODY_BYTES) {
       onRefused.accept(gateway.refusal(Reason.BROKEN, 0));
       return offer;
     }
+    if (message.bodyBytes() == 0) {
+      sender.accept(new PeerMessage.BodyCredit(message.callNumber(), 0));
+      return offer;
+    }
     OptionalInt retryAfterMs =
         schedule.offer(
             offer,
@@ -96,6 +100,8 @@
       onRefused.accept(gateway.refusal(Reason.FULL, retryAfterMs.getAsInt()));
       return offer;
     }
+    // The sender learns that the offer has arrived, however long the body has to wait.
+    sender.accept(new PeerMessage.BodyCredit(message.callNumber(), 0));
     long untilLatestStartMs = (gateway.latestStartNanos(call) - nowNanos) / 1_000_000;
     offer.timer = vertx.setTimer(Math.max(1, untilLatestStartMs), id -> expire(offer));
     gateway.setAnnouncedCalls(schedule.size());
@@ -118,18 +124,25 @@
 
   /** Adds bytes that have arrived. */
   void receive(Offer offer, byte[] bytes) {
+    if (offer.timer < 0) {
+      // The offer of an empty body, which is not scheduled.
+      complete(offer);
+      return;
+    }
     offer.body.writeBytes(bytes);
-    long nowNanos = time.nanoTime();
-    if (schedule.receive(offer, bytes.length, nowNanos)) {
+    if (schedule.receive(offer, bytes.length, time.nanoTime())) {
       vertx.cancelTimer(offer.timer);
       gateway.setAnnouncedCalls(schedule.size());
-      int elapsedMs = (int) ((nowNanos - offer.offeredNanos) / 1_000_000);
-      offer.onComplete.accept(
-          offer.call.withBody(offer.body.toByteArray()).afterTransit(elapsedMs));
+      complete(offer);
     }
     requestBodies();
   }
 
+  private void complete(Offer offer) {
+    int elapsedMs = (int) ((time.nanoTime() - offer.offeredNanos) / 1_000_000);
+    offer.onComplete.accept(offer.call.withBody(offer.body.toByteArray()).afterTransit(elapsedMs));
+  }
+
   /** Requests more bytes; called periodically as well, in case that a sender does not send. */
   void requestBodies() {
     for (BodySchedule.Request<Offer> request : schedule.nextRequests(time.nanoTime())) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/OfferedBodies.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/OfferedBodies.java
@@ -8,7 +8,8 @@
 
 /**
  * Bodies of the calls that this node has offered on one connection. They are sent as the other node
- * requests them. A call whose body has not been sent completely certainly has not run.
+ * requests them, an empty one as one empty part. A call whose body has not been sent completely
+ * certainly has not run.
  */
 final class OfferedBodies {
 
@@ -20,6 +21,7 @@
   private static final class Body {
     final byte[] bytes;
     int sentBytes;
+    boolean requested;
 
     Body(byte[] bytes) {
       this.bytes = bytes;
@@ -40,6 +42,12 @@
     return bodies.containsKey(callNumber);
   }
 
+  /** Returns whether the other node has not responded to the offer of a call. */
+  boolean isUnanswered(long callNumber) {
+    Body body = bodies.get(callNumber);
+    return body != null && !body.requested;
+  }
+
   /** Drops all bodies. */
   void clear() {
     bodies.clear();
@@ -51,6 +59,10 @@
     if (body == null) {
       return;
     }
+    body.requested = true;
+    if (body.bytes.length == 0) {
+      sender.accept(new PeerMessage.BodyPart(credit.callNumber(), body.bytes));
+    }
     int end = Math.min(body.bytes.length, body.sentBytes + Math.max(0, credit.bytes()));
     while (body.sentBytes < end) {
       int partEnd = Math.min(end, body.sentBytes + PART_BYTES);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -12,6 +12,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.LivenessCheck;
@@ -28,6 +29,8 @@
   private static final int MAX_INCOMPLETE_RESPONSE_BYTES = 8 << 20;
   // Longer bodies are sent when the other node requests them.
   private static final int MAX_UNREQUESTED_BODY_BYTES = 16 << 10;
+  private static final long QUIET_NANOS = 250_000_000L;
+  private static final int OFFER_TIMEOUT_MS = 150;
   private static final byte[] EMPTY_BODY = new byte[0];
 
   private final Vertx vertx;
@@ -217,13 +220,13 @@
     }
   }
 
-  /** Sends a call; returns an action that cancels it. */
-  Runnable call(MeshCall call, Consumer<MeshResponse> callback) {
+  /** Sends a call. */
+  OpenCall call(MeshCall call, Consumer<MeshResponse> callback) {
     PeerSocket current = socket;
     if (current == null || current.isClosed()) {
       callback.accept(
           MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
-      return () -> {};
+      return OpenCall.ENDED;
     }
     long callNumber = nextCallNumber++;
     if (calls.isEmpty()) {
@@ -231,25 +234,60 @@
     }
     calls.put(callNumber, callback);
     sendCall(current, callNumber, call);
-    return () -> {
-      if (calls.remove(callNumber) != null) {
-        offeredBodies.remove(callNumber);
-        responseParts.remove(callNumber);
-        current.send(new PeerMessage.Cancel(callNumber));
+    return new OpenCall() {
+      @Override
+      public void cancel() {
+        drop(current, callNumber);
+      }
+
+      @Override
+      public boolean mayHaveRun() {
+        return !offeredBodies.isIncomplete(callNumber);
       }
     };
   }
 
+  private @Nullable Consumer<MeshResponse> drop(PeerSocket current, long callNumber) {
+    Consumer<MeshResponse> callback = calls.remove(callNumber);
+    if (callback != null) {
+      offeredBodies.remove(callNumber);
+      responseParts.remove(callNumber);
+      current.send(new PeerMessage.Cancel(callNumber));
+    }
+    return callback;
+  }
+
   private void sendCall(PeerSocket current, long callNumber, MeshCall call) {
     long nowMs = time.nanoTime() / 1_000_000;
     byte[] body = call.body();
-    if (!acceptsOffers || body.length <= MAX_UNREQUESTED_BODY_BYTES) {
+    boolean longBody = body.length > MAX_UNREQUESTED_BODY_BYTES;
+    // A call that is lost with its connection may have run. One that must not run twice is offered
+    // first on a connection that may be broken, so that it can be sent to another target.
+    boolean unsafe = !call.idempotent() && isQuiet(current);
+    if (!acceptsOffers || !(longBody || unsafe)) {
       current.send(new PeerMessage.Call(callNumber, call, nowMs));
       return;
     }
     offeredBodies.add(callNumber, body);
     current.send(
         new PeerMessage.CallOffer(callNumber, call.withBody(EMPTY_BODY), body.length, nowMs));
+    if (!longBody) {
+      vertx.setTimer(OFFER_TIMEOUT_MS, id -> endUnansweredOffer(current, callNumber));
+    }
+  }
+
+  private boolean isQuiet(PeerSocket current) {
+    return time.nanoTime() - current.lastReceivedNanos() > QUIET_NANOS;
+  }
+
+  private void endUnansweredOffer(PeerSocket current, long callNumber) {
+    if (offeredBodies.isUnanswered(callNumber)) {
+      Consumer<MeshResponse> callback = drop(current, callNumber);
+      if (callback != null) {
+        callback.accept(
+            MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
+      }
+    }
   }
 
   /**
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -16,6 +16,7 @@
 import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.NodeRecord;
@@ -159,8 +160,8 @@
     return links.isEmpty() || connectedPeerCount() > 0;
   }
 
-  /** Sends a call to a target; returns an action that cancels it. */
-  public Runnable call(Candidate candidate, MeshCall call, Consumer<MeshResponse> callback) {
+  /** Sends a call to a target. */
+  public OpenCall call(Candidate candidate, MeshCall call, Consumer<MeshResponse> callback) {
     boolean urgent = CallRank.isUrgent(call.rank());
     candidate.callStarted(urgent);
     Consumer<MeshResponse> onResponse =
@@ -173,18 +174,26 @@
         };
     if (candidate.node().equals(self.key())) {
       TargetGateway.GatewayCall localCall = gateway.submit(call, onResponse);
-      return localCall::cancel;
+      return localCall;
     }
     PeerLink link = links.get(candidate.node());
     if (link == null) {
       onResponse.accept(
           MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
-      return () -> {};
+      return OpenCall.ENDED;
     }
-    Runnable cancel = link.call(call, onResponse);
-    return () -> {
-      cancel.run();
-      candidate.callEnded(urgent);
+    OpenCall remote = link.call(call, onResponse);
+    return new OpenCall() {
+      @Override
+      public void cancel() {
+        remote.cancel();
+        candidate.callEnded(urgent);
+      }
+
+      @Override
+      public boolean mayHaveRun() {
+        return remote.mayHaveRun();
+      }
     };
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -11,6 +11,7 @@
 import org.acaciapond.mesh.admission.CallClass;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -55,7 +56,7 @@
   private int announcedCalls;
 
   /** One call that is queued for the target or runs in it. */
-  public final class GatewayCall {
+  public final class GatewayCall implements OpenCall {
     private final MeshCall call;
     private final Consumer<MeshResponse> handler;
     private final long deadlineNanos;
@@ -76,6 +77,7 @@
     }
 
     /** Cancels the call: removes it from the queue, or closes its connection to the target. */
+    @Override
     public void cancel() {
       if (ended) {
         return;
@@ -97,6 +99,11 @@
       complete(MeshResponse.withoutAnswer(outcome, reason, 0, load()));
     }
 
+    @Override
+    public boolean mayHaveRun() {
+      return run != null;
+    }
+
     private void endAt(long nanos) {
       vertx.cancelTimer(timer);
       long leftMs = Math.max(1, (nanos - time.nanoTime()) / 1_000_000);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -129,6 +129,54 @@
     assertEquals(0, machine.target.runs("cancelled"));
   }
 
+  private static PeerMessage.CallOffer offer(long number, String id, int bodyBytes) {
+    return new PeerMessage.CallOffer(number, call(number, id).call(), bodyBytes, nowMs());
+  }
+
+  // Sends the requested bytes of a body until all of them were requested.
+  private static void sendBody(TestPeer peer, long number, int bytes) throws InterruptedException {
+    int left = bytes;
+    while (left > 0) {
+      PeerMessage.BodyCredit credit = peer.await(PeerMessage.BodyCredit.class, WAIT_MS);
+      assertNotNull(credit);
+      if (credit.callNumber() == number && credit.bytes() > 0) {
+        peer.send(new PeerMessage.BodyPart(number, new byte[credit.bytes()]));
+        left -= credit.bytes();
+      }
+    }
+  }
+
+  /** Guards against bodies that are sent for nothing, or in part, and still run. */
+  @Test
+  void offeredCallRunsWhenItsBodyIsComplete() throws Exception {
+    TestPeer peer = connectPeer(machine.settings.peer().port());
+
+    peer.send(offer(1_000, "cancelled", 60_000));
+    assertNotNull(peer.await(PeerMessage.BodyCredit.class, WAIT_MS));
+    peer.send(new PeerMessage.Cancel(1_000));
+    peer.send(offer(1_001, "complete", 60_000));
+    sendBody(peer, 1_001, 60_000);
+
+    assertEquals(Outcome.ANSWERED, await(peer));
+    assertEquals(1, machine.target.runs("complete"));
+    assertEquals(0, machine.target.runs("cancelled"));
+  }
+
+  /** Guards against an offered call without a body that runs before its caller says so. */
+  @Test
+  void offeredCallWithoutBodyRunsWhenItsCallerConfirmsIt() throws Exception {
+    TestPeer peer = connectPeer(machine.settings.peer().port());
+
+    peer.send(offer(1_000, "left", 0));
+    assertNotNull(peer.await(PeerMessage.BodyCredit.class, WAIT_MS));
+    peer.send(offer(1_001, "confirmed", 0));
+    assertNotNull(peer.await(PeerMessage.BodyCredit.class, WAIT_MS));
+    peer.send(new PeerMessage.BodyPart(1_001, new byte[0]));
+
+    assertEquals(Outcome.ANSWERED, await(peer));
+    assertEquals(0, machine.target.runs("left"));
+  }
+
   /** Guards against refusing all calls of a host whose clock stood still while it was suspended. */
   @Test
   void helloAfterClockStepMakesLaterCallsCountAsOnTime() throws Exception {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -1,12 +1,16 @@
 package org.acaciapond.sidecar.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -23,6 +27,7 @@
 import org.acaciapond.common.time.ManualTimeSource;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerCodec;
@@ -52,6 +57,7 @@
   private final BlockingQueue<String> disconnected = new LinkedBlockingQueue<>();
   private final CompletableFuture<Void> connected = new CompletableFuture<>();
   private final PeerCodec codec = new PeerCodec();
+  private final PeerCodec reading = new PeerCodec();
   private ServerSocket server;
   private Socket accepted;
   private PeerLink link;
@@ -110,8 +116,38 @@
   }
 
   private static MeshCall call(List<String> headers, byte[] body) {
+    return call(headers, body, true);
+  }
+
+  private static MeshCall call(List<String> headers, byte[] body, boolean idempotent) {
     return new MeshCall(
-        "id-1", "GET", "/a", headers, body, 500, 500, 1, "r", "other", "i-n1", true, false, "");
+        "id-1",
+        "GET",
+        "/a",
+        headers,
+        body,
+        500,
+        500,
+        1,
+        "r",
+        "other",
+        "i-n1",
+        idempotent,
+        false,
+        "");
+  }
+
+  private void acceptOffers() throws Exception {
+    NodeRecord self = new NodeRecord("n1", "127.0.0.1", server.getLocalPort(), "z", "orders", 1);
+    write(new PeerMessage.Hello(self, -1, false, 0, true, true));
+    assertNotNull(received.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+  }
+
+  private PeerMessage read() throws IOException {
+    DataInputStream in = new DataInputStream(accepted.getInputStream());
+    byte[] bytes = new byte[in.readInt()];
+    in.readFully(bytes);
+    return reading.decode(bytes);
   }
 
   private final class Events implements PeerLink.Listener {
@@ -169,6 +205,40 @@
     assertEquals(-1, accepted.getInputStream().read());
   }
 
+  /** Guards against a call that must not run twice and is lost in a broken connection. */
+  @Test
+  void unsafeCallOnQuietConnectionIsNotRunUnlessItsOfferIsAnswered() throws Exception {
+    acceptOffers();
+    time.advance(Duration.ofMillis(SILENT_MS));
+    CompletableFuture<MeshResponse> response = new CompletableFuture<>();
+    runOnLoop(() -> link.call(call(List.of(), new byte[0], false), response::complete));
+
+    assertInstanceOf(PeerMessage.CallOffer.class, read());
+    assertEquals(Outcome.REFUSED, response.get(WAIT_MS, TimeUnit.MILLISECONDS).outcome());
+    write(new PeerMessage.BodyCredit(0, 0));
+    assertInstanceOf(PeerMessage.Cancel.class, read());
+  }
+
+  /** Guards against a call that is counted as not run although the other node has it all. */
+  @Test
+  void offeredCallMayHaveRunOnceItsBodyIsSent() throws Exception {
+    acceptOffers();
+    CompletableFuture<MeshResponse> response = new CompletableFuture<>();
+    CompletableFuture<OpenCall> call = new CompletableFuture<>();
+    runOnLoop(
+        () -> call.complete(link.call(call(List.of(), new byte[30_000]), response::complete)));
+    assertInstanceOf(PeerMessage.CallOffer.class, read());
+    write(new PeerMessage.BodyCredit(0, 20_000));
+    assertEquals(16_384, assertInstanceOf(PeerMessage.BodyPart.class, read()).bytes().length);
+    read();
+    runOnLoop(() -> assertFalse(call.join().mayHaveRun()));
+    write(new PeerMessage.BodyCredit(0, 10_000));
+    read();
+    runOnLoop(() -> assertTrue(call.join().mayHaveRun()));
+    accepted.close();
+    assertEquals(Outcome.UNKNOWN, response.get(WAIT_MS, TimeUnit.MILLISECONDS).outcome());
+  }
+
   /** Such a message may have taken effect in part. */
   @Test
   void connectionIsClosedAfterMessageThatCannotBeProcessed() throws Exception {
