--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -12,6 +12,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.LivenessCheck;
@@ -26,6 +27,11 @@
   private static final int MIN_BACKOFF_MS = 50;
   private static final int MAX_BACKOFF_MS = 1_000;
   private static final int MAX_INCOMPLETE_RESPONSE_BYTES = 8 << 20;
+  // Longer bodies are sent when the other node requests them.
+  private static final int MAX_UNREQUESTED_BODY_BYTES = 16 << 10;
+  private static final long QUIET_NANOS = 250_000_000L;
+  private static final int OFFER_TIMEOUT_MS = 150;
+  private static final byte[] EMPTY_BODY = new byte[0];
 
   private final Vertx vertx;
   private final NetClient client;
@@ -35,9 +41,11 @@
   private final LivenessCheck liveness;
   private final Map<Long, Consumer<MeshResponse>> calls = new HashMap<>();
   private final ResponseParts responseParts = new ResponseParts(MAX_INCOMPLETE_RESPONSE_BYTES);
+  private final OfferedBodies offeredBodies = new OfferedBodies();
   private NodeRecord node;
   private @Nullable PeerSocket socket;
   private boolean readsStore = true;
+  private boolean acceptsOffers;
   private boolean connecting;
   private boolean stopped;
   private int backoffMs = MIN_BACKOFF_MS;
@@ -158,12 +166,18 @@
     if (message instanceof PeerMessage.Response response) {
       MeshResponse complete = responseParts.complete(response);
       Consumer<MeshResponse> callback = calls.remove(response.callNumber());
+      offeredBodies.remove(response.callNumber());
       if (callback != null) {
         callback.accept(complete);
       }
     } else if (message instanceof PeerMessage.ResponsePart part) {
       onResponsePart(part);
+    } else if (message instanceof PeerMessage.BodyCredit credit) {
+      offeredBodies.send(credit, from::send);
     } else if (!(message instanceof PeerMessage.Pong)) {
+      if (message instanceof PeerMessage.Hello hello) {
+        acceptsOffers = hello.acceptsOffers();
+      }
       listener.onMessage(this, message);
     }
   }
@@ -180,16 +194,23 @@
     if (socket == closed) {
       socket = null;
       listener.onDisconnected(this, "closed");
-      List<Consumer<MeshResponse>> pending = new ArrayList<>(calls.values());
+      acceptsOffers = false;
+      List<Runnable> ends = new ArrayList<>();
+      calls.forEach((number, call) -> ends.add(endOfBrokenCall(number, call)));
       calls.clear();
       responseParts.clear();
-      pending.forEach(callback -> callback.accept(connectionBroken()));
+      offeredBodies.clear();
+      ends.forEach(Runnable::run);
       reconnectLater();
     }
   }
 
-  private static MeshResponse connectionBroken() {
-    return MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.NODE_LOST, 0, TargetLoad.NONE);
+  private Runnable endOfBrokenCall(long callNumber, Consumer<MeshResponse> callback) {
+    MeshResponse end =
+        offeredBodies.isIncomplete(callNumber)
+            ? MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE)
+            : MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.NODE_LOST, 0, TargetLoad.NONE);
+    return () -> callback.accept(end);
   }
 
   void send(PeerMessage message) {
@@ -199,28 +220,76 @@
     }
   }
 
-  /** Sends a call; returns an action that cancels it. */
-  Runnable call(MeshCall call, Consumer<MeshResponse> callback) {
+  /** Sends a call. */
+  OpenCall call(MeshCall call, Consumer<MeshResponse> callback) {
     PeerSocket current = socket;
     if (current == null || current.isClosed()) {
       callback.accept(
           MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
-      return () -> {};
+      return OpenCall.ENDED;
     }
     long callNumber = nextCallNumber++;
     if (calls.isEmpty()) {
       pendingSinceNanos = time.nanoTime();
     }
     calls.put(callNumber, callback);
-    current.send(new PeerMessage.Call(callNumber, call, time.nanoTime() / 1_000_000));
-    return () -> {
-      if (calls.remove(callNumber) != null) {
-        responseParts.remove(callNumber);
-        current.send(new PeerMessage.Cancel(callNumber));
+    sendCall(current, callNumber, call);
+    return new OpenCall() {
+      @Override
+      public void cancel() {
+        drop(current, callNumber);
+      }
+
+      @Override
+      public boolean mayHaveRun() {
+        return !offeredBodies.isIncomplete(callNumber);
       }
     };
   }
 
+  private @Nullable Consumer<MeshResponse> drop(PeerSocket current, long callNumber) {
+    Consumer<MeshResponse> callback = calls.remove(callNumber);
+    if (callback != null) {
+      offeredBodies.remove(callNumber);
+      responseParts.remove(callNumber);
+      current.send(new PeerMessage.Cancel(callNumber));
+    }
+    return callback;
+  }
+
+  private void sendCall(PeerSocket current, long callNumber, MeshCall call) {
+    long nowMs = time.nanoTime() / 1_000_000;
+    byte[] body = call.body();
+    boolean longBody = body.length > MAX_UNREQUESTED_BODY_BYTES;
+    // A call that is lost with its connection may have run. One that must not run twice is offered
+    // first on a connection that may be broken, so that it can be sent to another target.
+    boolean unsafe = !call.idempotent() && isQuiet(current);
+    if (!acceptsOffers || !(longBody || unsafe)) {
+      current.send(new PeerMessage.Call(callNumber, call, nowMs));
+      return;
+    }
+    offeredBodies.add(callNumber, body);
+    current.send(
+        new PeerMessage.CallOffer(callNumber, call.withBody(EMPTY_BODY), body.length, nowMs));
+    if (!longBody) {
+      vertx.setTimer(OFFER_TIMEOUT_MS, id -> endUnansweredOffer(current, callNumber));
+    }
+  }
+
+  private boolean isQuiet(PeerSocket current) {
+    return time.nanoTime() - current.lastReceivedNanos() > QUIET_NANOS;
+  }
+
+  private void endUnansweredOffer(PeerSocket current, long callNumber) {
+    if (offeredBodies.isUnanswered(callNumber)) {
+      Consumer<MeshResponse> callback = drop(current, callNumber);
+      if (callback != null) {
+        callback.accept(
+            MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.UNREACHABLE, 0, TargetLoad.NONE));
+      }
+    }
+  }
+
   /**
    * Probes a connection that has been silent, or closes one that did not respond to its probe.
    *
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar.target;
 
 import io.vertx.core.Vertx;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
@@ -10,6 +11,7 @@
 import org.acaciapond.mesh.admission.CallClass;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -30,7 +32,7 @@
  */
 public final class TargetGateway {
 
-  private static final int DEADLINE_GRACE_MS = 100;
+  private static final long DEADLINE_GRACE_NANOS = 100_000_000L;
   private static final int CLOSED_RETRY_AFTER_MS = 100;
   private static final int CLOSE_EXPIRED_INTERVAL_MS = 1_000;
   private static final int RECENT_CALL_IDS = 4_096;
@@ -51,15 +53,17 @@
   private boolean nodeLeaving;
   private boolean admissionStarted;
   private long statusNumber;
+  private int announcedCalls;
 
   /** One call that is queued for the target or runs in it. */
-  public final class GatewayCall {
+  public final class GatewayCall implements OpenCall {
     private final MeshCall call;
     private final Consumer<MeshResponse> handler;
     private final long deadlineNanos;
     private final boolean idempotent;
     private @Nullable TargetConnection connection;
     private @Nullable CallRun run;
+    private long latestStartNanos;
     private long sentNanos;
     private boolean running;
     private boolean ended;
@@ -73,20 +77,37 @@
     }
 
     /** Cancels the call: removes it from the queue, or closes its connection to the target. */
+    @Override
     public void cancel() {
       if (ended) {
         return;
       }
       if (!running) {
         queue.cancel(this);
-        complete(MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.CANCELLED, 0, load()));
-        return;
       }
+      end(Reason.CANCELLED);
+    }
+
+    // A call that has a slot but is not sent yet, as its connection is still being established, has
+    // not run and is not sent any more.
+    private void end(Reason reason) {
       TargetConnection used = connection;
       if (used != null) {
         used.abandon();
       }
-      complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.CANCELLED, 0, load()));
+      Outcome outcome = run == null ? Outcome.REFUSED : Outcome.UNKNOWN;
+      complete(MeshResponse.withoutAnswer(outcome, reason, 0, load()));
+    }
+
+    @Override
+    public boolean mayHaveRun() {
+      return run != null;
+    }
+
+    private void endAt(long nanos) {
+      vertx.cancelTimer(timer);
+      long leftMs = Math.max(1, (nanos - time.nanoTime()) / 1_000_000);
+      timer = vertx.setTimer(leftMs, id -> expire(this));
     }
 
     private void complete(MeshResponse response) {
@@ -272,7 +293,13 @@
 
   /** Returns the current load. */
   public TargetLoad load() {
-    return health.load(queue.running(), queue.queued(), queue.urgentQueued(), time.nanoTime());
+    return health.load(
+        queue.running(), queue.queued() + announcedCalls, queue.urgentQueued(), time.nanoTime());
+  }
+
+  /** Sets the number of accepted calls whose bodies are still on their way. */
+  public void setAnnouncedCalls(int count) {
+    announcedCalls = count;
   }
 
   /** Returns the call with this id that runs in the target, or null. */
@@ -298,7 +325,40 @@
 
   /** Returns the number of running and queued calls. */
   public int pendingCallCount() {
-    return queue.running() + queue.queued();
+    return queue.running() + queue.queued() + announcedCalls;
+  }
+
+  /** Returns the refusal of a call that would be refused now, or null. */
+  public @Nullable MeshResponse refusalNow(MeshCall call) {
+    Reason refusalReason = refusalReason(call);
+    if (refusalReason != null) {
+      return refusal(refusalReason, CLOSED_RETRY_AFTER_MS);
+    }
+    if (call.leftMs() <= 0) {
+      return refusal(Reason.EXPIRED, 0);
+    }
+    OptionalInt retryAfterMs = queue.refusal(callClass(call), time.nanoTime());
+    return retryAfterMs.isPresent() ? refusal(Reason.FULL, retryAfterMs.getAsInt()) : null;
+  }
+
+  /** Returns the properties by which a call that arrives now is admitted. */
+  public CallClass callClass(MeshCall call) {
+    long nowNanos = time.nanoTime();
+    return new CallClass(
+        call.route(),
+        call.rank(),
+        nowNanos + call.objectiveLeftMs() * 1_000_000L,
+        nowNanos + call.leftMs() * 1_000_000L);
+  }
+
+  /** Returns the latest time at which it is worth starting a call that arrives now. */
+  public long latestStartNanos(MeshCall call) {
+    return queue.latestStartNanos(callClass(call));
+  }
+
+  /** Returns the expected service time of a call in microseconds. */
+  public double expectedServiceUs(MeshCall call) {
+    return health.serviceTimes().expectedUs(call.route());
   }
 
   /**
@@ -319,14 +379,13 @@
       gatewayCall.complete(refusal(Reason.EXPIRED, 0));
       return gatewayCall;
     }
-    gatewayCall.timer =
-        vertx.setTimer(call.leftMs() + DEADLINE_GRACE_MS, id -> expire(gatewayCall));
     CallClass callClass =
         new CallClass(
             call.route(),
             call.rank(),
             nowNanos + call.objectiveLeftMs() * 1_000_000L,
             deadlineNanos);
+    gatewayCall.latestStartNanos = queue.latestStartNanos(callClass);
     AdmissionResult<GatewayCall> result = queue.offer(gatewayCall, callClass, nowNanos);
     for (GatewayCall evicted : result.evicted()) {
       evicted.complete(refusal(Reason.FULL, queue.retryAfterMs()));
@@ -334,9 +393,7 @@
     switch (result.decision()) {
       case RUN -> run(gatewayCall);
       case REFUSE -> gatewayCall.complete(refusal(Reason.FULL, result.retryAfterMs()));
-      default -> {
-        // A queued call ends when a slot is freed, at its deadline or when it is cancelled.
-      }
+      default -> gatewayCall.endAt(gatewayCall.latestStartNanos);
     }
     return gatewayCall;
   }
@@ -352,14 +409,8 @@
   private void expire(GatewayCall call) {
     if (!call.running) {
       queue.cancel(call);
-      call.complete(refusal(Reason.EXPIRED, 0));
-      return;
-    }
-    TargetConnection used = call.connection;
-    if (used != null) {
-      used.abandon();
     }
-    call.complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.EXPIRED, 0, load()));
+    call.end(Reason.EXPIRED);
   }
 
   private void applyReleased(AdmissionQueue.Released<GatewayCall> released) {
@@ -371,7 +422,8 @@
     }
   }
 
-  private MeshResponse refusal(Reason reason, int retryAfterMs) {
+  /** Returns the response to a call that is refused. */
+  public MeshResponse refusal(Reason reason, int retryAfterMs) {
     return MeshResponse.withoutAnswer(Outcome.REFUSED, reason, retryAfterMs, load());
   }
 
@@ -386,6 +438,10 @@
           log.unreachable(call.call, error);
           call.complete(refusal(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
+    if (call.run == null && !call.ended) {
+      boolean late = time.nanoTime() - call.latestStartNanos >= 0;
+      call.endAt(late ? call.deadlineNanos : call.latestStartNanos);
+    }
   }
 
   private void send(GatewayCall gatewayCall, TargetConnection connection) {
@@ -406,6 +462,7 @@
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
     gatewayCall.run = diagnostics.recordSent(call, connection);
+    gatewayCall.endAt(gatewayCall.deadlineNanos + DEADLINE_GRACE_NANOS);
     health.recordSent(call, nowNanos);
     connection.send(
         call.id(),
