Keep the rate limits of client accounts at all nodes together

Cause: a client account could send any number of requests.

All nodes produce equal parts of the tokens of each limit. A node without a token asks the node that collects those of the limit, which pulls what others do not need. A token is removed before it is sent and expires after a lifetime that follows from the bound, so the sum holds without agreement on members or on the collecting node. Requests beyond the limit get 429 with a time; repeats by the system take a token as well.

--- a/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
+++ b/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
@@ -33,6 +33,7 @@
     "org.acaciapond.mesh.target..",
     "org.acaciapond.mesh.admission..",
     "org.acaciapond.mesh.retry..",
+    "org.acaciapond.mesh.limit..",
     "org.acaciapond.mesh.rollout..",
     "org.acaciapond.mesh.call..",
     "org.acaciapond.mesh.peer.."
@@ -120,6 +121,7 @@
           .resideInAnyPackage(
               "org.acaciapond.mesh.admission..",
               "org.acaciapond.mesh.retry..",
+              "org.acaciapond.mesh.limit..",
               "org.acaciapond.rollout..",
               "org.acaciapond.sidecar..");
 
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/CollectorChoice.java
@@ -0,0 +1,50 @@
+package org.acaciapond.mesh.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Choice of the node that collects the tokens of a limit: a few nodes by their hashes, and one of
+ * these for each limit by rendezvous hashing. Nodes that see different members choose differently,
+ * which divides the tokens between the chosen nodes but does not multiply them.
+ */
+final class CollectorChoice {
+
+  private final List<String> collectors;
+
+  CollectorChoice(Collection<String> nodes) {
+    List<String> sorted = new ArrayList<>(nodes);
+    sorted.sort(
+        Comparator.comparingLong((String node) -> hash(node, "")).thenComparing(each -> each));
+    int count = (int) Math.ceil(Math.sqrt(sorted.size()));
+    collectors = sorted.subList(0, count);
+  }
+
+  /** Returns the node that collects the tokens of a limit. */
+  String of(String limit) {
+    String best = collectors.get(0);
+    long bestHash = hash(best, limit);
+    for (String node : collectors) {
+      long nodeHash = hash(node, limit);
+      if (nodeHash > bestHash) {
+        best = node;
+        bestHash = nodeHash;
+      }
+    }
+    return best;
+  }
+
+  // FNV-1a with the finalizer of MurmurHash3: equal on all nodes and evenly distributed.
+  private static long hash(String node, String limit) {
+    long value = 0xcbf29ce484222325L;
+    String text = node + '\n' + limit;
+    for (int i = 0; i < text.length(); i++) {
+      value = (value ^ text.charAt(i)) * 0x100000001b3L;
+    }
+    value = (value ^ value >>> 33) * 0xff51afd7ed558ccdL;
+    value = (value ^ value >>> 33) * 0xc4ceb9fe1a85ec53L;
+    return value ^ value >>> 33;
+  }
+}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -68,7 +68,7 @@
       out.packInt(HELLO);
       writeNode(out, hello.node());
       out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes()).packLong(hello.sentMs());
-      out.packBoolean(hello.acceptsParts());
+      out.packBoolean(hello.acceptsParts()).packBoolean(hello.sharesLimits());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
@@ -113,6 +113,8 @@
       for (ShareGrant grant : grants.grants()) {
         RolloutCodec.writeGrant(out, grant);
       }
+    } else if (message instanceof PeerMessage.Limit limit) {
+      LimitCodec.write(out, limit.message(), dictionary);
     } else if (message instanceof PeerMessage.Evidence evidence) {
       out.packInt(EVIDENCE).packString(evidence.domain()).packLong(evidence.orderNumber());
       out.packInt(evidence.counts().size());
@@ -132,6 +134,7 @@
               in.unpackLong(),
               in.unpackBoolean(),
               PackedFields.readOptionalLong(in),
+              in.hasNext() && in.unpackBoolean(),
               in.hasNext() && in.unpackBoolean());
       case STATUS ->
           new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
@@ -180,6 +183,8 @@
         yield new PeerMessage.Evidence(
             domain, order, counts, named ? in.unpackString() : "", named && in.unpackBoolean());
       }
+      case LimitCodec.ASK, LimitCodec.GRANT, LimitCodec.PULL, LimitCodec.SURPLUSES ->
+          new PeerMessage.Limit(LimitCodec.read(in, type, dictionary));
       default ->
           throw new PeerException(
               PeerErrorCode.MALFORMED_MESSAGE, "unknown peer message type " + type, null);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -21,10 +22,26 @@
    * @param sentMs monotonic time of the sender, 0 if unknown
    * @param acceptsParts whether the sender can read {@link ResponsePart}; nodes of earlier releases
    *     cannot
+   * @param sharesLimits whether the sender can read {@link Limit}; nodes of earlier releases cannot
    */
   record Hello(
-      NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs, boolean acceptsParts)
-      implements PeerMessage {}
+      NodeRecord node,
+      long rowVersion,
+      boolean wantsNodes,
+      long sentMs,
+      boolean acceptsParts,
+      boolean sharesLimits)
+      implements PeerMessage {
+
+    /** Creates the message of a node that does not share limits. */
+    public Hello(
+        NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs, boolean acceptsParts) {
+      this(node, rowVersion, wantsNodes, sentMs, acceptsParts, false);
+    }
+  }
+
+  /** Message of the shared limits. */
+  record Limit(LimitMessage message) implements PeerMessage {}
 
   /**
    * State of the sender's target, sent on change and to show that the connection is alive.
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -16,6 +16,8 @@
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.limit.LimitMessage;
+import org.acaciapond.mesh.limit.Portion;
 import org.acaciapond.mesh.rollout.RolloutState;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.mesh.target.TargetLoad;
@@ -67,6 +69,19 @@
             "z", 4, List.of(new RouteCounts("s", "v2", "r", 5, 2, latency)), "n", true));
   }
 
+  // Guards against a node of an earlier release that is sent a message that it cannot read.
+  @Test
+  void messagesOfSharedLimitsAreDecodedAsEncoded() {
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true));
+    List<Portion> portions = List.of(new Portion(2_000_000, 7), new Portion(1, 0));
+    assertRoundTrip(new PeerMessage.Limit(new LimitMessage.Ask(-5, "acme", 2, 1, 300)));
+    assertRoundTrip(new PeerMessage.Limit(new LimitMessage.Grant(9, "acme", portions, 40, 3)));
+    assertRoundTrip(new PeerMessage.Limit(new LimitMessage.Pull(10, List.of("acme", "b"), 70)));
+    assertRoundTrip(
+        new PeerMessage.Limit(
+            new LimitMessage.Surpluses(10, List.of(new LimitMessage.Surplus("acme", portions)))));
+  }
+
   @Test
   void callsAndResponsesAreDecodedAsEncoded() {
     byte[] body = "body".getBytes(StandardCharsets.UTF_8);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -10,6 +10,8 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpListener;
 import org.acaciapond.http.ServerLimits;
+import org.acaciapond.mesh.limit.LimitBounds;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.platform.SidecarSettings;
@@ -26,6 +28,7 @@
 import org.acaciapond.sidecar.call.RequestRouter;
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
+import org.acaciapond.sidecar.limit.AccountLimits;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.rollout.RolloutService;
 import org.acaciapond.sidecar.state.NodeRegistry;
@@ -74,6 +77,7 @@
   private final RolloutService rollouts;
   private final TargetGateway gateway;
   private final PeerNetwork network;
+  private final AccountLimits accountLimits;
   private final RequestRouter router;
   private final NodeRegistry nodeRegistry;
   private final StoreFeed operatorFeed;
@@ -125,8 +129,29 @@
     OperatorStateExchange stateExchange =
         new OperatorStateExchange(
             vertx, operatorState, this::receivesChangesFromStore, log, metrics, random, time);
+    accountLimits =
+        new AccountLimits(
+            vertx,
+            self.key(),
+            this::sendLimitMessage,
+            desiredState,
+            limitBounds(settings.bounds()),
+            log,
+            metrics,
+            () -> ThreadLocalRandom.current().nextInt(),
+            time);
     network =
-        new PeerNetwork(vertx, self, gateway, stateExchange, rollouts, log, metrics, random, time);
+        new PeerNetwork(
+            vertx,
+            self,
+            gateway,
+            stateExchange,
+            rollouts,
+            accountLimits,
+            log,
+            metrics,
+            random,
+            time);
     operatorState.setChangeListener(network::announceRows);
     stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
@@ -143,6 +168,7 @@
             network,
             chooser,
             retryBudget,
+            accountLimits,
             rollouts,
             rollouts,
             log,
@@ -182,6 +208,14 @@
     ready = createListener(settings.ready(), () -> CONTROL_LIMITS, statusEndpoint::handle);
   }
 
+  private static LimitBounds limitBounds(SidecarSettings.Bounds bounds) {
+    return new LimitBounds(bounds.quotaWindowMs(), bounds.quotaOverShare(), bounds.quotaSlack());
+  }
+
+  private void sendLimitMessage(String node, LimitMessage message) {
+    network.sendLimitMessage(node, message);
+  }
+
   private HttpListener createListener(
       SocketAddressSetting address,
       java.util.function.Supplier<ServerLimits> limits,
--- /dev/null
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/LimitedRequest.java
@@ -0,0 +1,45 @@
+package org.acaciapond.sidecar.call;
+
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.acaciapond.http.HttpExchange;
+import org.acaciapond.mesh.account.ClientAccount;
+import org.acaciapond.mesh.limit.SharedLimiter;
+import org.acaciapond.sidecar.limit.AccountLimits;
+
+/** Request of an account with a limit until the limit has room for it or it is refused. */
+final class LimitedRequest implements SharedLimiter.Waiter {
+
+  private final HttpExchange exchange;
+  private final AccountLimits limits;
+  private final ClientAccount account;
+  private final Consumer<RequestTokens> onGranted;
+  private final IntConsumer onRefused;
+
+  LimitedRequest(
+      HttpExchange exchange,
+      AccountLimits limits,
+      ClientAccount account,
+      Consumer<RequestTokens> onGranted,
+      IntConsumer onRefused) {
+    this.exchange = exchange;
+    this.limits = limits;
+    this.account = account;
+    this.onGranted = onGranted;
+    this.onRefused = onRefused;
+  }
+
+  void start(int maxWaitMs) {
+    limits.acquire(account, Math.max(0, maxWaitMs), this);
+  }
+
+  @Override
+  public void granted(long producedNanos) {
+    onGranted.accept(new RequestTokens(limits, account, producedNanos));
+  }
+
+  @Override
+  public void refused(int retryAfterMs) {
+    onRefused.accept(retryAfterMs);
+  }
+}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.acaciapond.http.HttpResponse;
 import org.acaciapond.mesh.account.Access;
 import org.acaciapond.mesh.account.AccountDirectory;
+import org.acaciapond.mesh.account.ClientAccount;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.platform.CallHeaders;
@@ -26,6 +27,7 @@
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
 import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.sidecar.limit.AccountLimits;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -38,6 +40,8 @@
   private static final int NOT_CONFIGURED_RETRY_MS = 250;
   private static final double DEFAULT_RESPONSE_BYTES = 1_000;
   private static final double RESPONSE_BYTES_SMOOTHING_FACTOR = 0.05;
+  // Clients come back after at most this fraction of the time that they have left.
+  private static final int CLIENT_WAIT_DIVISOR = 3;
   private static final int MAX_ROUTES = 4_096;
   private static final int DEFAULT_TIMEOUT_MS = 60_000;
 
@@ -49,6 +53,7 @@
   final PeerNetwork network;
   final TargetChooser chooser;
   final RetryBudget budget;
+  final AccountLimits accountLimits;
   final VersionFilter versions;
   final CallObserver callObserver;
   final EventLog log;
@@ -61,6 +66,7 @@
   final AttemptLatencies latencies = new AttemptLatencies();
   private final Map<String, Double> responseBytes = new HashMap<>();
   private boolean refusing;
+  private int waitingForLimit;
   private final Set<RoutedRequest> openRequests = new LinkedHashSet<>();
 
   /** Creates a router. */
@@ -73,6 +79,7 @@
       PeerNetwork network,
       TargetChooser chooser,
       RetryBudget budget,
+      AccountLimits accountLimits,
       VersionFilter versions,
       CallObserver callObserver,
       EventLog log,
@@ -97,6 +104,7 @@
     this.network = network;
     this.chooser = chooser;
     this.budget = budget;
+    this.accountLimits = accountLimits;
     this.versions = versions;
     this.callObserver = callObserver;
     this.log = log;
@@ -127,7 +135,7 @@
 
   /** Returns the number of requests without a response. */
   public int openRequestCount() {
-    return openRequests.size();
+    return openRequests.size() + waitingForLimit;
   }
 
   /** Routes a request or refuses it. */
@@ -164,19 +172,52 @@
       endUnauthorized(exchange, id, table.version());
       return;
     }
+    ClientAccount account = access.account();
+    List<String> headers = forwardedHeaders(exchange, accounts);
+    if (account == null || !account.limit().isLimited()) {
+      route(exchange, headers, id, route, limitMs, parent, account, RequestTokens.UNLIMITED);
+      return;
+    }
+    waitingForLimit++;
+    int clientLeftMs = clientTimeoutMs - elapsedMs(exchange);
+    new LimitedRequest(
+            exchange,
+            accountLimits,
+            account,
+            tokens -> {
+              waitingForLimit--;
+              route(exchange, headers, id, route, limitMs, parent, account, tokens);
+            },
+            retryAfterMs -> {
+              waitingForLimit--;
+              endOverLimit(exchange, id, route, account, retryAfterMs);
+            })
+        .start(clientLeftMs / CLIENT_WAIT_DIVISOR);
+  }
+
+  private void route(
+      HttpExchange exchange,
+      List<String> headers,
+      String id,
+      Route route,
+      int limitMs,
+      @Nullable MeshCall parent,
+      @Nullable ClientAccount account,
+      RequestTokens tokens) {
     String service = route.selectService(random.getAsDouble());
     RoutedRequest request =
         new RoutedRequest(
             this,
             exchange,
-            forwardedHeaders(exchange, accounts),
+            headers,
             id,
             route,
             service,
             limitMs,
             random.getAsDouble(),
             parent,
-            access.account());
+            account,
+            tokens);
     openRequests.add(request);
     budget.recordRequest(service, time.nanoTime());
     if (parent != null && parent.retry()) {
@@ -185,6 +226,31 @@
     request.start();
   }
 
+  private int elapsedMs(HttpExchange exchange) {
+    return (int) ((time.nanoTime() - exchange.receivedNanos()) / 1_000_000);
+  }
+
+  private void endOverLimit(
+      HttpExchange exchange, String id, Route route, ClientAccount account, int retryAfterMs) {
+    metrics.recordRequest("over_limit", time.nanoTime() - exchange.receivedNanos());
+    log.request(
+        "request_ended",
+        "id",
+        id,
+        "end",
+        "over_limit",
+        "status",
+        429,
+        "route",
+        route.name(),
+        "account",
+        account.name(),
+        "retry_after_ms",
+        retryAfterMs);
+    exchange.respond(
+        HttpResponse.empty(429, List.of("Retry-After", RetryAfter.seconds(retryAfterMs))));
+  }
+
   private @Nullable String keyOf(HttpExchange exchange) {
     if (HttpMessage.count(exchange.headers(), headerNames.credentials()) != 1) {
       return null;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -56,6 +56,7 @@
   private final boolean partOfRetry;
   // Name of the client account; empty if the request has none.
   private final String account;
+  private final RequestTokens tokens;
   private final RequestLog log;
   private final Set<String> triedNodes = new HashSet<>();
   private final List<Attempt> openAttempts = new ArrayList<>();
@@ -80,7 +81,8 @@
       int limitMs,
       double draw,
       @Nullable MeshCall parent,
-      @Nullable ClientAccount account) {
+      @Nullable ClientAccount account,
+      RequestTokens tokens) {
     this.router = router;
     this.exchange = exchange;
     this.headers = headers;
@@ -97,6 +99,7 @@
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.partOfRetry = parent != null && parent.retry();
     this.account = account == null ? "" : account.name();
+    this.tokens = tokens;
   }
 
   private static int priority(Route route, @Nullable ClientAccount account) {
@@ -182,6 +185,7 @@
             account);
     Attempt attempt = new Attempt(chosen, nowNanos);
     openAttempts.add(attempt);
+    tokens.onSent();
     router.callObserver.onCallSent(attempt.target);
     Runnable canceller =
         router.network.call(chosen, call, response -> onAttemptEnded(attempt, response));
@@ -256,6 +260,9 @@
       lastReason = response.reason();
     }
     reportCallResult(attempt, response);
+    if (response.outcome() == Outcome.REFUSED || response.outcome() == Outcome.NOT_RUN) {
+      tokens.onNotRun();
+    }
     switch (response.outcome()) {
       case ANSWERED -> onTargetResponse(response);
       case REFUSED -> onRefusal(from, response);
@@ -376,7 +383,8 @@
   // The first attempt that reaches a target is free; each further one uses the retry budget.
   private boolean tryRetry() {
     if (sentToTargets + openAttempts.size() >= route.maxAttempts()
-        || times.leftMs() < MIN_RETRY_TIME_LEFT_MS) {
+        || times.leftMs() < MIN_RETRY_TIME_LEFT_MS
+        || !tokens.tryTake()) {
       return false;
     }
     boolean allowed =
@@ -456,6 +464,7 @@
     router.vertx.cancelTimer(deadlineTimer);
     router.vertx.cancelTimer(hedgeTimer);
     router.requestEnded(this);
+    tokens.giveBackUnused();
     long nanos = times.elapsedNanos();
     Candidate lastTried = lastCandidate;
     log.requestEnded(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -32,6 +32,7 @@
   private final TargetGateway gateway;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
+  private final LimitExchange limitExchange;
   private final Handshake handshake;
   private final EventLog log;
   private final TimeSource time;
@@ -71,6 +72,7 @@
       TargetGateway gateway,
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
+      LimitExchange limitExchange,
       Handshake handshake,
       EventLog log,
       TimeSource time) {
@@ -79,6 +81,7 @@
     this.gateway = gateway;
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
+    this.limitExchange = limitExchange;
     this.handshake = handshake;
     this.log = log;
     this.time = time;
@@ -170,6 +173,8 @@
       stateExchange.onRowsSent(socket.send(stateExchange.response(request)));
     } else if (message instanceof PeerMessage.Evidence evidence) {
       rolloutExchange.accept(evidence);
+    } else if (message instanceof PeerMessage.Limit limit) {
+      limitExchange.accept(connection.key, limit.message());
     }
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -38,6 +38,7 @@
   private NodeRecord node;
   private @Nullable PeerSocket socket;
   private boolean readsStore = true;
+  private boolean sharesLimits;
   private boolean connecting;
   private boolean stopped;
   private int backoffMs = MIN_BACKOFF_MS;
@@ -106,6 +107,15 @@
     readsStore = value;
   }
 
+  /** Returns whether the node can read messages of shared limits. */
+  boolean sharesLimits() {
+    return sharesLimits;
+  }
+
+  void setSharesLimits(boolean value) {
+    sharesLimits = value;
+  }
+
   void connect() {
     if (connecting || stopped || socket != null) {
       return;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.NodeRow;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -46,6 +47,7 @@
   private final TargetGateway gateway;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
+  private final LimitExchange limitExchange;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
@@ -69,6 +71,7 @@
       TargetGateway gateway,
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
+      LimitExchange limitExchange,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -78,6 +81,7 @@
     this.gateway = gateway;
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
+    this.limitExchange = limitExchange;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -87,7 +91,15 @@
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
     inbound =
         new InboundPeers(
-            vertx, self, gateway, stateExchange, rolloutExchange, new LocalHandshake(), log, time);
+            vertx,
+            self,
+            gateway,
+            stateExchange,
+            rolloutExchange,
+            limitExchange,
+            new LocalHandshake(),
+            log,
+            time);
     gateway.setStatusListener(this::onLocalStatusChanged);
     targets = new ConnectedTargets(time);
     targets.applyStatus(self.key(), self.domain(), gateway.status(), gateway.load());
@@ -254,6 +266,19 @@
     }
   }
 
+  /**
+   * Sends a message of the shared limits: requests on the connection to the node, replies on the
+   * connection from it, on which the request came.
+   */
+  public void sendLimitMessage(String key, LimitMessage message) {
+    PeerMessage sent = new PeerMessage.Limit(message);
+    if (message instanceof LimitMessage.Ask || message instanceof LimitMessage.Pull) {
+      send(key, sent);
+    } else {
+      inbound.publish(sent, Set.of(key));
+    }
+  }
+
   /** Sends a message to all nodes that are connected to this one. */
   public void publish(PeerMessage message) {
     inbound.publish(message);
@@ -280,7 +305,7 @@
 
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(
-        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true);
+        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true, true);
   }
 
   private void check() {
@@ -290,10 +315,27 @@
     links.values().forEach(link -> link.check(onTime));
     inbound.sendLoadToWaitingPeers(CHECK_INTERVAL_MS);
     stateExchange.check();
+    updateLimitMembers();
     announceClockStep(nowNanos);
     metrics.setConnectedPeers(connectedPeerCount());
   }
 
+  private void updateLimitMembers() {
+    if (limitExchange.hasLimits()) {
+      List<String> connected = new ArrayList<>();
+      for (PeerLink link : links.values()) {
+        if (link.isConnected() && link.sharesLimits()) {
+          connected.add(link.node().key());
+        }
+      }
+      limitExchange.setMembers(connected, knowsAllNodes() ? knownNodeCount() : 0);
+    }
+  }
+
+  private boolean knowsAllNodes() {
+    return !wantsNodes || (receivedNodeLists > 0 && receivedNodeLists >= links.size());
+  }
+
   // The monotonic clock of a suspended host stands still, so that all its later calls look late to
   // its peers. Another hello makes them measure the transit time anew.
   private void announceClockStep(long nowNanos) {
@@ -373,6 +415,7 @@
         } else {
           link.updateNode(hello.node());
         }
+        link.setSharesLimits(hello.sharesLimits());
         stateExchange.onPeerVersion(link.node().key(), hello.rowVersion());
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::addOrUpdateNode);
@@ -386,6 +429,8 @@
         gateway.restoreStatus(stopped.status());
       } else if (message instanceof PeerMessage.Grants grants) {
         rolloutExchange.accept(grants.grants());
+      } else if (message instanceof PeerMessage.Limit limit) {
+        limitExchange.accept(link.node().key(), limit.message());
       }
     }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.util.Locale;
 import org.acaciapond.http.UnexpectedResponse;
+import org.acaciapond.mesh.limit.LimitMessage;
 
 /** Prometheus metrics of a node. */
 public final class NodeMetrics {
@@ -37,6 +38,8 @@
   private final Gauge exposureViolations;
   private final Gauge routesOfUnknownKind;
   private final Gauge skippedEntries;
+  private final Counter limitedRequests;
+  private final Counter limitMessages;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -85,6 +88,16 @@
         registerGauge(
             "acaciapond_skipped_state_entries",
             "Entries of the desired state in force that were skipped as invalid.");
+    limitedRequests =
+        registerCounter(
+            "acaciapond_limited_requests_total",
+            "Requests of accounts with a limit by whether the limit had room.",
+            "outcome");
+    limitMessages =
+        registerCounter(
+            "acaciapond_limit_messages_total",
+            "Messages of shared limits sent to other nodes.",
+            "kind");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -190,6 +203,16 @@
     skippedEntries.set(count);
   }
 
+  /** Counts a request of an account with a limit. */
+  public void countLimitedRequest(boolean granted) {
+    limitedRequests.labelValues(granted ? "granted" : "over_limit").inc();
+  }
+
+  /** Counts a message of the shared limits. */
+  public void countLimitMessage(LimitMessage message) {
+    limitMessages.labelValues(message.getClass().getSimpleName().toLowerCase(Locale.ROOT)).inc();
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
