--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Collector.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Collector.java
@@ -24,6 +24,8 @@
   private static final long MAX_REPLY_NANOS = 5_000 * MS;
   private static final long MIN_PULL_INTERVAL_NANOS = 250 * MS;
   private static final long ACTIVE_NANOS = 3_000 * MS;
+  // Limits that will need tokens in this time are added to a pull for another one.
+  private static final double PULLED_HORIZON_S = 1;
   private static final double STOCK_HORIZON_S = 0.25;
   private static final int MAX_SPACING_MS = 60_000;
   private static final int MAX_PENDING_PULLS = 128;
@@ -44,6 +46,9 @@
     void send(LimitMessage.Grant grant, long nowNanos);
   }
 
+  // Pulls without a reply that are not overdue.
+  private int pullsInTime;
+
   /** Ask that waits for tokens. */
   private record QueuedAsk(LimitMessage.Ask ask, GrantReply reply, long receivedNanos) {}
 
@@ -110,6 +115,7 @@
 
   void discardPulls() {
     pendingPulls.clear();
+    pullsInTime = 0;
     collections.values().forEach(each -> each.pulling = 0);
   }
 
@@ -223,11 +229,9 @@
   }
 
   private void pull(Collecting collection, int nodes, long nowNanos) {
-    double perS = collection.demand.perS(nowNanos);
-    long target = (long) ((collection.queuedRequests + perS * STOCK_HORIZON_S) * TokenStock.TOKEN);
-    long missing = target - collection.limit.stock.total() - collection.pulling;
+    long missing = missing(collection, STOCK_HORIZON_S, nowNanos);
     int left = others.size();
-    while (missing > 0 && left > 0 && pendingPulls.size() < MAX_PENDING_PULLS) {
+    while (missing > 0 && left > 0 && pullsInTime < MAX_PENDING_PULLS) {
       left--;
       String node = others.remove();
       others.add(node);
@@ -239,12 +243,24 @@
     }
   }
 
+  private static long missing(Collecting collection, double horizonS, long nowNanos) {
+    double perS = collection.demand.perS(nowNanos);
+    long target = (long) ((collection.queuedRequests + perS * horizonS) * TokenStock.TOKEN);
+    return target - collection.limit.stock.total() - collection.pulling;
+  }
+
   private void send(Collecting collection, String node, long expected, int nodes, long nowNanos) {
     long number = numbers.getAsLong();
     pendingPulls.put(number, new PendingPull(collection.limit.name, expected, nowNanos));
+    pullsInTime++;
     pulledNanos.put(node, nowNanos);
     collection.pulling += expected;
-    List<String> names = new ArrayList<>(collections.keySet());
+    List<String> names = new ArrayList<>();
+    for (Collecting each : collections.values()) {
+      if (each == collection || missing(each, PULLED_HORIZON_S, nowNanos) > 0) {
+        names.add(each.limit.name);
+      }
+    }
     sender.send(node, new LimitMessage.Pull(number, names, nodes));
   }
 
@@ -267,6 +283,7 @@
       }
     }
     if (!pull.overdue) {
+      pullsInTime--;
       ended(pull, received);
     }
     for (Collecting collection : new ArrayList<>(collections.values())) {
@@ -295,6 +312,7 @@
     for (PendingPull pull : pendingPulls.values()) {
       if (!pull.overdue && nowNanos - pull.sentNanos > PULL_TIMEOUT_NANOS) {
         pull.overdue = true;
+        pullsInTime--;
         ended(pull, 0);
       }
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/CollectorChoice.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/CollectorChoice.java
@@ -1,6 +1,5 @@
 package org.acaciapond.mesh.limit;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -14,12 +13,18 @@
 
   private final List<String> collectors;
 
+  /** Node with its hash. */
+  private record RankedNode(long hash, String node) {}
+
   CollectorChoice(Collection<String> nodes) {
-    List<String> sorted = new ArrayList<>(nodes);
-    sorted.sort(
-        Comparator.comparingLong((String node) -> hash(node, "")).thenComparing(each -> each));
-    int count = (int) Math.ceil(Math.sqrt(sorted.size()));
-    collectors = sorted.subList(0, count);
+    int count = (int) Math.ceil(Math.sqrt(nodes.size()));
+    collectors =
+        nodes.stream()
+            .map(node -> new RankedNode(hash(node, ""), node))
+            .sorted(Comparator.comparingLong(RankedNode::hash).thenComparing(RankedNode::node))
+            .limit(count)
+            .map(RankedNode::node)
+            .toList();
   }
 
   /** Returns the node that collects the tokens of a limit. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
@@ -84,8 +84,8 @@
    */
   void addReceived(List<Portion> portions, long requestedNanos, long nowNanos) {
     for (Portion portion : portions) {
-      long producedNanos = requestedNanos - portion.ageUs() * 1_000;
-      if (portion.microTokens() > 0 && portion.ageUs() >= 0) {
+      long producedNanos = requestedNanos - portion.ageMs() * 1_000_000L;
+      if (portion.microTokens() > 0 && portion.ageMs() >= 0) {
         stock.add(producedNanos, portion.microTokens(), policy.lifetimeNanos());
       }
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Portion.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Portion.java
@@ -4,6 +4,6 @@
  * Tokens on their way between two nodes.
  *
  * @param microTokens number of tokens in millionths
- * @param ageUs time since the production of the oldest one, when they were sent
+ * @param ageMs time since the production of the oldest one, when they were sent
  */
-public record Portion(long microTokens, long ageUs) {}
+public record Portion(long microTokens, int ageMs) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -131,8 +131,9 @@
    */
   public void setMembers(Collection<String> others, int nodes) {
     knownNodes = nodes == 0 ? 0 : Math.max(knownNodes, nodes);
-    if (!connected.equals(others)) {
-      connected = new HashSet<>(others);
+    Set<String> current = new HashSet<>(others);
+    if (!connected.equals(current)) {
+      connected = current;
       collector.setOthers(connected);
       choose();
     }
@@ -232,8 +233,9 @@
   // Tokens for the requests that the node's own production will not cover in the next time.
   private int spare(LimitState limit, long nowNanos) {
     double ownPerS = knownNodes == 0 ? 0 : limit.policy().tokensPerS() / knownNodes;
-    double perS = limit.localDemand.perS(nowNanos) - ownPerS;
-    return (int) Math.max(0, perS * SPARE_HORIZON_S);
+    double demandPerS = limit.localDemand.perS(nowNanos);
+    double missing = (demandPerS - ownPerS) * SPARE_HORIZON_S;
+    return (int) Math.max(0, missing);
   }
 
   /** Handles a message of another node. */
@@ -323,11 +325,8 @@
     long total = limit.stock.total();
     long expected =
         (long) (limit.localDemand.perS(nowNanos) * RESERVE_HORIZON_S * TokenStock.TOKEN);
-    double ownTokens =
-        limit.policy().tokensPerS()
-            * limit.policy().lifetimeNanos()
-            / 1e9
-            / Math.max(1, knownNodes);
+    double lifetimeS = limit.policy().lifetimeNanos() / 1e9;
+    double ownTokens = limit.policy().tokensPerS() * lifetimeS / Math.max(1, knownNodes);
     if (ownTokens >= MIN_OWN_TOKENS) {
       return Math.min(total, expected);
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/TokenStock.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/TokenStock.java
@@ -86,9 +86,9 @@
     long left = amount;
     while (left > 0) {
       long part = Math.min(left, perPortion);
-      long ageUs = (nowNanos - batches.get(0).producedNanos) / 1_000 + 1;
+      int ageMs = (int) ((nowNanos - batches.get(0).producedNanos) / 1_000_000) + 1;
       remove(part);
-      portions.add(new Portion(part, ageUs));
+      portions.add(new Portion(part, ageMs));
       left -= part;
     }
     return portions;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LimitCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/LimitCodec.java
@@ -77,7 +77,7 @@
       throws IOException {
     out.packInt(portions.size());
     for (Portion portion : portions) {
-      out.packLong(portion.microTokens()).packLong(portion.ageUs());
+      out.packLong(portion.microTokens()).packInt(portion.ageMs());
     }
   }
 
@@ -85,7 +85,7 @@
     int count = PackedFields.readListSize(in);
     List<Portion> portions = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      portions.add(new Portion(in.unpackLong(), in.unpackLong()));
+      portions.add(new Portion(in.unpackLong(), in.unpackInt()));
     }
     return portions;
   }
