--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/quota/QuotaExperiment.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/quota/QuotaExperiment.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -89,7 +90,7 @@
       bytes += length;
       bytesByKind.merge(message.getClass().getSimpleName(), (long) length, Long::sum);
       messagesByKind.merge(message.getClass().getSimpleName(), 1L, Long::sum);
-      Node receiver = byName.get(to);
+      Node receiver = Objects.requireNonNull(byName.get(to));
       if (!cut || receiver.inCutDomain == inCutDomain) {
         long delayNanos = MIN_DELAY_NANOS + (long) (random.nextDouble() * DELAY_SPREAD_NANOS);
         schedule(delayNanos, () -> receiver.limiter.receive(name, message, nowNanos));
@@ -237,7 +238,9 @@
                 kind.toLowerCase(Locale.ROOT),
                 new JsonObject()
                     .put("messages_per_node_s", round(count / nodeSeconds))
-                    .put("bytes_per_node_s", round(bytesByKind.get(kind) / nodeSeconds))));
+                    .put(
+                        "bytes_per_node_s",
+                        round(bytesByKind.getOrDefault(kind, 0L) / nodeSeconds))));
     return new JsonObject()
         .put("by_kind", kinds)
         .put("allowed", allowed)
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -253,7 +253,7 @@
 
   private void onAsk(String node, LimitMessage.Ask ask, long nowNanos) {
     LimitState limit = limits.get(ask.limit());
-    if (limit != null) {
+    if (limit != null && ask.waiting() > 0 && ask.waiting() <= MAX_WAITING) {
       limit.update(knownNodes, nowNanos);
       collector.ask(
           limit, ask, (grant, replyNanos) -> sender.send(node, grant), knownNodes, nowNanos);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/AccountLimitTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/AccountLimitTest.java
@@ -17,6 +17,7 @@
       ["small",["key-1"],2,1],["free",["key-2"],0,0]]}}
       """;
   private static final int REQUESTS = 120;
+  private static final int MIN_GRANTED = 5;
   // Limit of one window and the largest excess over it.
   private static final double BOUND = (2 * 5 + 1) * 1.1 + 20;
 
@@ -57,7 +58,8 @@
     long startNanos = System.nanoTime();
     int granted = 0;
     HttpResponse<String> refusal = null;
-    for (int i = 0; i < REQUESTS; i++) {
+    // The limit has room again every half second, however fast the requests are sent.
+    for (int i = 0; i < REQUESTS || granted < MIN_GRANTED; i++) {
       HttpResponse<String> response = send(mesh[i % mesh.length], "key-1");
       if (response.statusCode() == 429) {
         refusal = response;
@@ -69,7 +71,6 @@
     double windows = Math.ceil((System.nanoTime() - startNanos) / 5e9);
     assertEquals(granted, arrived.get());
     assertTrue(granted <= BOUND * windows, "granted " + granted);
-    assertTrue(granted >= 1, "granted " + granted);
     assertTrue(refusal != null, "granted all");
     double retryAfterS =
         Double.parseDouble(refusal.headers().firstValue("Retry-After").orElse("0"));
