Move unused retries between nodes

Cause: each node kept an equal part of the retry budget, so a node that needed more had none while others left theirs unused.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -29,6 +29,8 @@
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
 import org.acaciapond.sidecar.limit.AccountLimits;
+import org.acaciapond.sidecar.limit.LimitMessages;
+import org.acaciapond.sidecar.limit.SharedRetries;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.rollout.RolloutService;
 import org.acaciapond.sidecar.state.NodeRegistry;
@@ -140,6 +142,17 @@
             metrics,
             () -> ThreadLocalRandom.current().nextInt(),
             time);
+    SidecarSettings.Bounds bounds = settings.bounds();
+    retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMs());
+    final SharedRetries sharedRetries =
+        new SharedRetries(
+            retryBudget,
+            this::sendLimitMessage,
+            this::randomLimitPeer,
+            this::knownNodeCount,
+            metrics,
+            () -> ThreadLocalRandom.current().nextInt(),
+            time);
     network =
         new PeerNetwork(
             vertx,
@@ -147,7 +160,7 @@
             gateway,
             stateExchange,
             rollouts,
-            accountLimits,
+            new LimitMessages(accountLimits, sharedRetries),
             log,
             metrics,
             random,
@@ -155,8 +168,6 @@
     operatorState.setChangeListener(network::announceRows);
     stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
-    SidecarSettings.Bounds bounds = settings.bounds();
-    retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMs());
     TargetChooser chooser = new TargetChooser(self.key(), self.domain(), random);
     router =
         new RequestRouter(
@@ -167,7 +178,7 @@
             desiredState,
             network,
             chooser,
-            retryBudget,
+            sharedRetries,
             accountLimits,
             rollouts,
             rollouts,
@@ -212,6 +223,14 @@
     return new LimitBounds(bounds.quotaWindowMs(), bounds.quotaOverShare(), bounds.quotaSlack());
   }
 
+  private @Nullable String randomLimitPeer() {
+    return network.randomLimitPeer();
+  }
+
+  private int knownNodeCount() {
+    return network.knownNodeCount();
+  }
+
   private void sendLimitMessage(String node, LimitMessage message) {
     network.sendLimitMessage(node, message);
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -22,12 +22,12 @@
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.retry.AttemptLatencies;
-import org.acaciapond.mesh.retry.RetryBudget;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
 import org.acaciapond.mesh.target.TargetChooser;
 import org.acaciapond.sidecar.limit.AccountLimits;
+import org.acaciapond.sidecar.limit.SharedRetries;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -52,7 +52,7 @@
   final TargetGateway gateway;
   final PeerNetwork network;
   final TargetChooser chooser;
-  final RetryBudget budget;
+  final SharedRetries retries;
   final AccountLimits accountLimits;
   final VersionFilter versions;
   final CallObserver callObserver;
@@ -78,7 +78,7 @@
       DesiredStateHolder desiredState,
       PeerNetwork network,
       TargetChooser chooser,
-      RetryBudget budget,
+      SharedRetries retries,
       AccountLimits accountLimits,
       VersionFilter versions,
       CallObserver callObserver,
@@ -103,7 +103,7 @@
     this.desiredState = desiredState;
     this.network = network;
     this.chooser = chooser;
-    this.budget = budget;
+    this.retries = retries;
     this.accountLimits = accountLimits;
     this.versions = versions;
     this.callObserver = callObserver;
@@ -219,9 +219,9 @@
             account,
             tokens);
     openRequests.add(request);
-    budget.recordRequest(service, time.nanoTime());
+    retries.recordRequest(service);
     if (parent != null && parent.retry()) {
-      budget.recordRetry(service, time.nanoTime());
+      retries.recordRetry(service);
     }
     request.start();
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -163,6 +163,7 @@
 
   private void send(Candidate chosen) {
     triedNodes.add(chosen.node());
+    tokens.onSent();
     lastCandidate = chosen;
     long nowNanos = router.time.nanoTime();
     int leftMs = times.leftMs();
@@ -185,7 +186,6 @@
             account);
     Attempt attempt = new Attempt(chosen, nowNanos);
     openAttempts.add(attempt);
-    tokens.onSent();
     router.callObserver.onCallSent(attempt.target);
     Runnable canceller =
         router.network.call(chosen, call, response -> onAttemptEnded(attempt, response));
@@ -387,8 +387,7 @@
         || !tokens.tryTake()) {
       return false;
     }
-    boolean allowed =
-        router.budget.tryRetry(service, router.network.knownNodeCount(), router.time.nanoTime());
+    boolean allowed = router.retries.tryRetry(service);
     router.metrics.countRetry(allowed);
     return allowed;
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/limit/AccountLimits.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/limit/AccountLimits.java
@@ -15,13 +15,12 @@
 import org.acaciapond.mesh.limit.TokenPolicy;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.RouteTable;
-import org.acaciapond.sidecar.peer.LimitExchange;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 import org.jspecify.annotations.Nullable;
 
 /** Limits of the client accounts of the desired state in force, at one node. */
-public final class AccountLimits implements LimitExchange {
+public final class AccountLimits {
 
   private static final int TICK_MS = 50;
   // An account is limited until none of its requests has been refused for this time.
@@ -120,18 +119,18 @@
     limiter.giveBack(account.name(), producedNanos, update());
   }
 
-  @Override
+  /** Returns whether there are accounts with a limit. */
   public boolean hasLimits() {
     update();
     return hasLimits;
   }
 
-  @Override
+  /** Replaces the connected nodes and the number of all nodes, 0 while it is not known. */
   public void setMembers(Collection<String> connected, int nodes) {
     limiter.setMembers(connected, nodes);
   }
 
-  @Override
+  /** Handles a message of a peer. */
   public void accept(String peer, LimitMessage message) {
     limiter.receive(peer, message, update());
     startTimer();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -29,6 +29,7 @@
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Network of all other nodes: connections to and from them, their targets, and calls to those. */
 public final class PeerNetwork implements ManagedService {
@@ -332,6 +333,21 @@
     }
   }
 
+  /** Returns a random connected node that shares limits, or null if there is none. */
+  public @Nullable String randomLimitPeer() {
+    String chosen = null;
+    int count = 0;
+    for (PeerLink link : links.values()) {
+      if (link.isConnected() && link.sharesLimits()) {
+        count++;
+        if (random.getAsDouble() * count < 1) {
+          chosen = link.node().key();
+        }
+      }
+    }
+    return chosen;
+  }
+
   private boolean knowsAllNodes() {
     return !wantsNodes || (receivedNodeLists > 0 && receivedNodeLists >= links.size());
   }
