--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -23,6 +24,7 @@
    *     cannot
    * @param acceptsOffers whether the sender can read {@link CallOffer}; nodes of earlier releases
    *     cannot
+   * @param sharesLimits whether the sender can read {@link Limit}; nodes of earlier releases cannot
    */
   record Hello(
       NodeRecord node,
@@ -30,9 +32,13 @@
       boolean wantsNodes,
       long sentMs,
       boolean acceptsParts,
-      boolean acceptsOffers)
+      boolean acceptsOffers,
+      boolean sharesLimits)
       implements PeerMessage {}
 
+  /** Message of the shared limits. */
+  record Limit(LimitMessage message) implements PeerMessage {}
+
   /**
    * State of the sender's target, sent on change and to show that the connection is alive.
    *
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -10,6 +10,8 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.HttpListener;
 import org.acaciapond.http.ServerLimits;
+import org.acaciapond.mesh.limit.LimitBounds;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.platform.SidecarSettings;
@@ -26,6 +28,9 @@
 import org.acaciapond.sidecar.call.RequestRouter;
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
+import org.acaciapond.sidecar.limit.AccountLimits;
+import org.acaciapond.sidecar.limit.LimitMessages;
+import org.acaciapond.sidecar.limit.SharedRetries;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.rollout.RolloutService;
 import org.acaciapond.sidecar.state.NodeRegistry;
@@ -74,6 +79,7 @@
   private final RolloutService rollouts;
   private final TargetGateway gateway;
   private final PeerNetwork network;
+  private final AccountLimits accountLimits;
   private final RequestRouter router;
   private final NodeRegistry nodeRegistry;
   private final StoreFeed operatorFeed;
@@ -125,13 +131,43 @@
     OperatorStateExchange stateExchange =
         new OperatorStateExchange(
             vertx, operatorState, this::receivesChangesFromStore, log, metrics, random, time);
+    accountLimits =
+        new AccountLimits(
+            vertx,
+            self.key(),
+            this::sendLimitMessage,
+            desiredState,
+            limitBounds(settings.bounds()),
+            log,
+            metrics,
+            () -> ThreadLocalRandom.current().nextInt(),
+            time);
+    SidecarSettings.Bounds bounds = settings.bounds();
+    retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMs());
+    final SharedRetries sharedRetries =
+        new SharedRetries(
+            retryBudget,
+            this::sendLimitMessage,
+            this::randomLimitPeer,
+            this::knownNodeCount,
+            metrics,
+            () -> ThreadLocalRandom.current().nextInt(),
+            time);
     network =
-        new PeerNetwork(vertx, self, gateway, stateExchange, rollouts, log, metrics, random, time);
+        new PeerNetwork(
+            vertx,
+            self,
+            gateway,
+            stateExchange,
+            rollouts,
+            new LimitMessages(accountLimits, sharedRetries),
+            log,
+            metrics,
+            random,
+            time);
     operatorState.setChangeListener(network::announceRows);
     stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
-    SidecarSettings.Bounds bounds = settings.bounds();
-    retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), bounds.retryWindowMs());
     TargetChooser chooser = new TargetChooser(self.key(), self.domain(), random);
     router =
         new RequestRouter(
@@ -142,7 +178,8 @@
             desiredState,
             network,
             chooser,
-            retryBudget,
+            sharedRetries,
+            accountLimits,
             rollouts,
             rollouts,
             log,
@@ -182,6 +219,22 @@
     ready = createListener(settings.ready(), () -> CONTROL_LIMITS, statusEndpoint::handle);
   }
 
+  private static LimitBounds limitBounds(SidecarSettings.Bounds bounds) {
+    return new LimitBounds(bounds.quotaWindowMs(), bounds.quotaOverShare(), bounds.quotaSlack());
+  }
+
+  private @Nullable String randomLimitPeer() {
+    return network.randomLimitPeer();
+  }
+
+  private int knownNodeCount() {
+    return network.knownNodeCount();
+  }
+
+  private void sendLimitMessage(String node, LimitMessage message) {
+    network.sendLimitMessage(node, message);
+  }
+
   private HttpListener createListener(
       SocketAddressSetting address,
       java.util.function.Supplier<ServerLimits> limits,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.acaciapond.http.HttpResponse;
 import org.acaciapond.mesh.account.Access;
 import org.acaciapond.mesh.account.AccountDirectory;
+import org.acaciapond.mesh.account.ClientAccount;
 import org.acaciapond.mesh.admission.ServiceRoom;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.Reason;
@@ -22,11 +23,12 @@
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.retry.AttemptLatencies;
-import org.acaciapond.mesh.retry.RetryBudget;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
 import org.acaciapond.mesh.target.TargetChooser;
+import org.acaciapond.sidecar.limit.AccountLimits;
+import org.acaciapond.sidecar.limit.SharedRetries;
 import org.acaciapond.sidecar.peer.PeerNetwork;
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -39,6 +41,8 @@
   private static final int NOT_CONFIGURED_RETRY_MS = 250;
   private static final double DEFAULT_RESPONSE_BYTES = 1_000;
   private static final double RESPONSE_BYTES_SMOOTHING_FACTOR = 0.05;
+  // Clients come back after at most this fraction of the time that they have left.
+  private static final int CLIENT_WAIT_DIVISOR = 3;
   private static final int MAX_ROUTES = 4_096;
   private static final int MAX_SERVICES = 4_096;
   private static final int DEFAULT_TIMEOUT_MS = 60_000;
@@ -51,7 +55,8 @@
   final TargetGateway gateway;
   final PeerNetwork network;
   final TargetChooser chooser;
-  final RetryBudget budget;
+  final SharedRetries retries;
+  final AccountLimits accountLimits;
   final VersionFilter versions;
   final CallObserver callObserver;
   final EventLog log;
@@ -65,6 +70,7 @@
   private final Map<String, Double> responseBytes = new HashMap<>();
   private final Map<String, ServiceRoom> rooms = new HashMap<>();
   private boolean refusing;
+  private int waitingForLimit;
   private final Set<RoutedRequest> openRequests = new LinkedHashSet<>();
 
   /** Creates a router. */
@@ -76,7 +82,8 @@
       DesiredStateHolder desiredState,
       PeerNetwork network,
       TargetChooser chooser,
-      RetryBudget budget,
+      SharedRetries retries,
+      AccountLimits accountLimits,
       VersionFilter versions,
       CallObserver callObserver,
       EventLog log,
@@ -100,7 +107,8 @@
     this.desiredState = desiredState;
     this.network = network;
     this.chooser = chooser;
-    this.budget = budget;
+    this.retries = retries;
+    this.accountLimits = accountLimits;
     this.versions = versions;
     this.callObserver = callObserver;
     this.log = log;
@@ -131,7 +139,7 @@
 
   /** Returns the number of requests without a response. */
   public int openRequestCount() {
-    return openRequests.size();
+    return openRequests.size() + waitingForLimit;
   }
 
   /** Routes a request or refuses it. */
@@ -168,8 +176,59 @@
       endUnauthorized(exchange, id, table.version());
       return;
     }
-    String service = route.selectService(random.getAsDouble());
+    ClientAccount account = access.account();
+    List<String> headers = forwardedHeaders(exchange, accounts);
     long clientDeadlineNanos = exchange.receivedNanos() + clientTimeoutMs * NANOS_PER_MS;
+    if (account == null || !account.limit().isLimited()) {
+      route(
+          exchange,
+          headers,
+          id,
+          route,
+          limitMs,
+          clientDeadlineNanos,
+          parent,
+          account,
+          RequestTokens.UNLIMITED);
+      return;
+    }
+    waitingForLimit++;
+    int clientLeftMs = clientTimeoutMs - elapsedMs(exchange);
+    new LimitedRequest(
+            exchange,
+            accountLimits,
+            account,
+            tokens -> {
+              waitingForLimit--;
+              route(
+                  exchange,
+                  headers,
+                  id,
+                  route,
+                  limitMs,
+                  clientDeadlineNanos,
+                  parent,
+                  account,
+                  tokens);
+            },
+            retryAfterMs -> {
+              waitingForLimit--;
+              endOverLimit(exchange, id, route, account, retryAfterMs);
+            })
+        .start(clientLeftMs / CLIENT_WAIT_DIVISOR);
+  }
+
+  private void route(
+      HttpExchange exchange,
+      List<String> headers,
+      String id,
+      Route route,
+      int limitMs,
+      long clientDeadlineNanos,
+      @Nullable MeshCall parent,
+      @Nullable ClientAccount account,
+      RequestTokens tokens) {
+    String service = route.selectService(random.getAsDouble());
     RoutedRequest request =
         new RoutedRequest(
             this,
@@ -178,22 +237,48 @@
             room(service)
                 .returns()
                 .takeFirstReceivedNanos(route.name(), clientDeadlineNanos, time.nanoTime()),
-            forwardedHeaders(exchange, accounts),
+            headers,
             id,
             route,
             service,
             limitMs,
             random.getAsDouble(),
             parent,
-            access.account());
+            account,
+            tokens);
     openRequests.add(request);
-    budget.recordRequest(service, time.nanoTime());
+    retries.recordRequest(service);
     if (parent != null && parent.retry()) {
-      budget.recordRetry(service, time.nanoTime());
+      retries.recordRetry(service);
     }
     request.start();
   }
 
+  private int elapsedMs(HttpExchange exchange) {
+    return (int) ((time.nanoTime() - exchange.receivedNanos()) / 1_000_000);
+  }
+
+  private void endOverLimit(
+      HttpExchange exchange, String id, Route route, ClientAccount account, int retryAfterMs) {
+    metrics.recordRequest("over_limit", time.nanoTime() - exchange.receivedNanos());
+    log.request(
+        "request_ended",
+        "id",
+        id,
+        "end",
+        "over_limit",
+        "status",
+        429,
+        "route",
+        route.name(),
+        "account",
+        account.name(),
+        "retry_after_ms",
+        retryAfterMs);
+    exchange.respond(
+        HttpResponse.empty(429, List.of("Retry-After", RetryAfter.seconds(retryAfterMs))));
+  }
+
   private @Nullable String keyOf(HttpExchange exchange) {
     if (HttpMessage.count(exchange.headers(), headerNames.credentials()) != 1) {
       return null;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -64,6 +64,7 @@
   private final boolean partOfRetry;
   // Name of the client account; empty if the request has none.
   private final String account;
+  private final RequestTokens tokens;
   private final RequestLog log;
   private final Set<String> triedNodes = new HashSet<>();
   private final List<Attempt> openAttempts = new ArrayList<>();
@@ -92,7 +93,8 @@
       int limitMs,
       double draw,
       @Nullable MeshCall parent,
-      @Nullable ClientAccount account) {
+      @Nullable ClientAccount account,
+      RequestTokens tokens) {
     this.router = router;
     this.exchange = exchange;
     this.headers = headers;
@@ -116,6 +118,7 @@
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.partOfRetry = parent != null && parent.retry();
     this.account = account == null ? "" : account.name();
+    this.tokens = tokens;
   }
 
   private static int priority(Route route, @Nullable ClientAccount account) {
@@ -189,6 +192,7 @@
 
   private void send(Candidate chosen) {
     triedNodes.add(chosen.node());
+    tokens.onSent();
     lastCandidate = chosen;
     long nowNanos = router.time.nanoTime();
     int leftMs = times.leftMs();
@@ -286,6 +290,9 @@
     }
     recordRoom(response);
     reportCallResult(attempt, response);
+    if (response.outcome() == Outcome.REFUSED || response.outcome() == Outcome.NOT_RUN) {
+      tokens.onNotRun();
+    }
     switch (response.outcome()) {
       case ANSWERED -> onTargetResponse(response);
       case REFUSED -> onRefusal(from, response);
@@ -418,11 +425,11 @@
   // The first attempt that reaches a target is free; each further one uses the retry budget.
   private boolean tryRetry() {
     if (sentToTargets + openAttempts.size() >= route.maxAttempts()
-        || times.leftMs() < MIN_RETRY_TIME_LEFT_MS) {
+        || times.leftMs() < MIN_RETRY_TIME_LEFT_MS
+        || !tokens.tryTake()) {
       return false;
     }
-    boolean allowed =
-        router.budget.tryRetry(service, router.network.knownNodeCount(), router.time.nanoTime());
+    boolean allowed = router.retries.tryRetry(service);
     router.metrics.countRetry(allowed);
     return allowed;
   }
@@ -513,6 +520,7 @@
     router.vertx.cancelTimer(deadlineTimer);
     router.vertx.cancelTimer(hedgeTimer);
     router.requestEnded(this);
+    tokens.giveBackUnused();
     long nanos = times.elapsedNanos();
     Candidate lastTried = lastCandidate;
     log.requestEnded(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -35,6 +35,7 @@
   private final InboundBodies bodies;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
+  private final LimitExchange limitExchange;
   private final Handshake handshake;
   private final EventLog log;
   private final TimeSource time;
@@ -75,6 +76,7 @@
       TargetGateway gateway,
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
+      LimitExchange limitExchange,
       Handshake handshake,
       EventLog log,
       TimeSource time) {
@@ -84,6 +86,7 @@
     this.bodies = new InboundBodies(vertx, gateway, time);
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
+    this.limitExchange = limitExchange;
     this.handshake = handshake;
     this.log = log;
     this.time = time;
@@ -184,6 +187,8 @@
       stateExchange.onRowsSent(socket.send(stateExchange.response(request)));
     } else if (message instanceof PeerMessage.Evidence evidence) {
       rolloutExchange.accept(evidence);
+    } else if (message instanceof PeerMessage.Limit limit) {
+      limitExchange.accept(connection.key, limit.message());
     }
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -19,6 +19,7 @@
 import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.limit.LimitMessage;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.NodeRow;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -29,6 +30,7 @@
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Network of all other nodes: connections to and from them, their targets, and calls to those. */
 public final class PeerNetwork implements ManagedService {
@@ -47,6 +49,7 @@
   private final TargetGateway gateway;
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
+  private final LimitExchange limitExchange;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
@@ -70,6 +73,7 @@
       TargetGateway gateway,
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
+      LimitExchange limitExchange,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -79,6 +83,7 @@
     this.gateway = gateway;
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
+    this.limitExchange = limitExchange;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -88,7 +93,15 @@
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
     inbound =
         new InboundPeers(
-            vertx, self, gateway, stateExchange, rolloutExchange, new LocalHandshake(), log, time);
+            vertx,
+            self,
+            gateway,
+            stateExchange,
+            rolloutExchange,
+            limitExchange,
+            new LocalHandshake(),
+            log,
+            time);
     gateway.setStatusListener(this::onLocalStatusChanged);
     targets = new ConnectedTargets(time);
     targets.applyStatus(self.key(), self.domain(), gateway.status(), gateway.load());
@@ -263,6 +276,19 @@
     }
   }
 
+  /**
+   * Sends a message of the shared limits: requests on the connection to the node, replies on the
+   * connection from it, on which the request came.
+   */
+  public void sendLimitMessage(String key, LimitMessage message) {
+    PeerMessage sent = new PeerMessage.Limit(message);
+    if (message instanceof LimitMessage.Ask || message instanceof LimitMessage.Pull) {
+      send(key, sent);
+    } else {
+      inbound.publish(sent, Set.of(key));
+    }
+  }
+
   /** Sends a message to all nodes that are connected to this one. */
   public void publish(PeerMessage message) {
     inbound.publish(message);
@@ -289,7 +315,13 @@
 
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(
-        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true, true);
+        self,
+        stateExchange.rowVersion(),
+        wantsNodes,
+        time.nanoTime() / 1_000_000,
+        true,
+        true,
+        true);
   }
 
   private void check() {
@@ -300,10 +332,42 @@
     inbound.sendLoadToWaitingPeers(CHECK_INTERVAL_MS);
     inbound.requestBodies();
     stateExchange.check();
+    updateLimitMembers();
     announceClockStep(nowNanos);
     metrics.setConnectedPeers(connectedPeerCount());
   }
 
+  private void updateLimitMembers() {
+    if (limitExchange.hasLimits()) {
+      List<String> connected = new ArrayList<>();
+      for (PeerLink link : links.values()) {
+        if (link.isConnected() && link.sharesLimits()) {
+          connected.add(link.node().key());
+        }
+      }
+      limitExchange.setMembers(connected, knowsAllNodes() ? knownNodeCount() : 0);
+    }
+  }
+
+  /** Returns a random connected node that shares limits, or null if there is none. */
+  public @Nullable String randomLimitPeer() {
+    String chosen = null;
+    int count = 0;
+    for (PeerLink link : links.values()) {
+      if (link.isConnected() && link.sharesLimits()) {
+        count++;
+        if (random.getAsDouble() * count < 1) {
+          chosen = link.node().key();
+        }
+      }
+    }
+    return chosen;
+  }
+
+  private boolean knowsAllNodes() {
+    return !wantsNodes || (receivedNodeLists > 0 && receivedNodeLists >= links.size());
+  }
+
   // The monotonic clock of a suspended host stands still, so that all its later calls look late to
   // its peers. Another hello makes them measure the transit time anew.
   private void announceClockStep(long nowNanos) {
@@ -383,6 +447,7 @@
         } else {
           link.updateNode(hello.node());
         }
+        link.setSharesLimits(hello.sharesLimits());
         stateExchange.onPeerVersion(link.node().key(), hello.rowVersion());
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::addOrUpdateNode);
@@ -396,6 +461,8 @@
         gateway.restoreStatus(stopped.status());
       } else if (message instanceof PeerMessage.Grants grants) {
         rolloutExchange.accept(grants.grants());
+      } else if (message instanceof PeerMessage.Limit limit) {
+        limitExchange.accept(link.node().key(), limit.message());
       }
     }
 
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -139,7 +139,7 @@
 
   private void acceptOffers() throws Exception {
     NodeRecord self = new NodeRecord("n1", "127.0.0.1", server.getLocalPort(), "z", "orders", 1);
-    write(new PeerMessage.Hello(self, -1, false, 0, true, true));
+    write(new PeerMessage.Hello(self, -1, false, 0, true, true, true));
     assertNotNull(received.poll(WAIT_MS, TimeUnit.MILLISECONDS));
   }
 
