Find the pace of calls to a target from how it answers

Cause: a target's node ran as many calls at once as the target has slots, whatever it answered. A target that stopped to answer kept all its slots in use until the deadlines, and a cold target got any number of requests, although its service may tolerate only a rate.

Change: package org.acaciapond.mesh.pace. The limit falls if refused calls had been sent at a higher number of running calls than answered ones, or if a test with a lower limit shows that the target does as much work; it rises again by one. A target that is silent or unreachable gets one call at a time, idempotent ones first, and its overdue idempotent calls end at once. A cold target gets calls at the rate of its service, within the bound in each sliding second, also after a restart of its node and while the rate is not known yet. Callers see the limit as slots, and the capacity of a cold target follows from its rate.

--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import org.acaciapond.bench.load.LoadCommand;
 import org.acaciapond.bench.load.PortsCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
+import org.acaciapond.bench.pace.PaceCommand;
 import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
 
@@ -25,6 +26,7 @@
               "calls", args -> System.exit(CallsCommand.run(args)),
               "converge", args -> System.exit(ConvergeCommand.run(args)),
               "membership", MembershipCommand::run,
+              "pace", PaceCommand::run,
               "rollout", RolloutCommand::run));
 
   /** Command of the binary. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
 import java.util.TreeSet;
 
 /**
@@ -29,6 +30,7 @@
           .thenComparingLong(queued -> queued.arrivalNumber);
 
   private final ServiceTimes serviceTimes;
+  private final StartPace startPace;
   private final TreeSet<QueuedCall<T>> queue = new TreeSet<>(ORDER);
   private final Map<String, Integer> runningByRoute = new HashMap<>();
   private final Map<String, NestedCallLimit> nestedCallLimits = new HashMap<>();
@@ -63,7 +65,13 @@
 
   /** Creates a queue that refuses every call until {@link #setSlots} is called. */
   public AdmissionQueue(ServiceTimes serviceTimes) {
+    this(serviceTimes, StartPace.UNLIMITED);
+  }
+
+  /** Creates a queue whose calls start at the given pace; it refuses calls as above. */
+  public AdmissionQueue(ServiceTimes serviceTimes, StartPace startPace) {
     this.serviceTimes = serviceTimes;
+    this.startPace = startPace;
   }
 
   /** Sets the number of calls that may run at once; with 0 every call is refused. */
@@ -90,12 +98,13 @@
   public AdmissionResult<T> offer(T call, CallClass callClass, long nowNanos) {
     double serviceUs = serviceTimes.expectedUs(callClass.route());
     boolean routeLimited = isRouteLimited(callClass.route(), nowNanos);
-    if (running < slots && !routeLimited) {
-      start(callClass.route());
+    if (running < slots && !routeLimited && startPace.mayStart(nowNanos)) {
+      start(callClass.route(), nowNanos);
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
-    double waitUs = estimatedWaitUs(queue.headSet(queued));
+    SortedSet<QueuedCall<T>> ahead = queue.headSet(queued);
+    double waitUs = Math.max(estimatedWaitUs(ahead), startPace.delayUs(ahead.size(), nowNanos));
     if (routeLimited) {
       waitUs = Math.max(waitUs, routeWaitUs(queued, nowNanos));
     }
@@ -148,7 +157,8 @@
     return ahead * call.serviceUs / Math.max(1, routeLimit(route, nowNanos));
   }
 
-  private void start(String route) {
+  private void start(String route, long nowNanos) {
+    startPace.started(nowNanos);
     running++;
     runningByRoute.merge(route, 1, Integer::sum);
   }
@@ -216,7 +226,7 @@
     List<T> run = new ArrayList<>();
     List<T> refused = new ArrayList<>();
     Iterator<QueuedCall<T>> each = queue.iterator();
-    while (running < slots && each.hasNext()) {
+    while (running < slots && startPace.mayStart(nowNanos) && each.hasNext()) {
       QueuedCall<T> next = each.next();
       double leftUs = (next.callClass.deadlineNanos() - nowNanos) / 1000.0;
       boolean late = leftUs < next.serviceUs * MIN_REMAINING_TIME_SHARE;
@@ -228,7 +238,7 @@
       if (late) {
         refused.add(next.call);
       } else {
-        start(next.callClass.route());
+        start(next.callClass.route(), nowNanos);
         run.add(next.call);
       }
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/DesiredStateHolder.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/route/DesiredStateHolder.java
@@ -22,6 +22,19 @@
     return table == null ? -1 : table.version();
   }
 
+  /**
+   * Returns the requests per second that a cold target of a service tolerates: 0 if any number, and
+   * a negative value before the first state.
+   */
+  public double coldRequestsPerS(String service) {
+    RouteTable table = current.get();
+    if (table == null) {
+      return -1;
+    }
+    ServiceSpec spec = table.state().services().get(service);
+    return spec == null ? 0 : Math.max(0, spec.coldRequestsPerS());
+  }
+
   /** Replaces the current state if the given one has a higher version; returns whether it did. */
   public boolean updateIfNewer(DesiredState state) {
     while (true) {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -68,6 +68,22 @@
     return nowNanos - coldUntilNanos < 0;
   }
 
+  /**
+   * Returns the number of concurrent calls that the target can run. A cold target has no more than
+   * the calls that are running at the rate that it tolerates.
+   *
+   * @param coldRequestsPerS rate that cold targets of the service tolerate, 0 if any
+   * @param typicalUs mean service time of the targets of the service
+   */
+  public double capacity(double coldRequestsPerS, double typicalUs, long nowNanos) {
+    int slots = Math.max(1, status.slots());
+    if (coldRequestsPerS <= 0 || !isCold(nowNanos)) {
+      return slots;
+    }
+    double running = coldRequestsPerS * Math.max(typicalUs, load.serviceUs()) / 1e6;
+    return Math.min(slots, Math.max(1, running));
+  }
+
   /** Counts the start of a call that this node sends. */
   public void callStarted(boolean urgent) {
     localPending++;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/SelectionCriteria.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/SelectionCriteria.java
@@ -8,6 +8,20 @@
  * @param rank order of admission
  * @param objectiveLeftUs time left until the latency objective, in microseconds
  * @param leftUs time left until the deadline, in microseconds
+ * @param coldRequestsPerS requests per second that a cold target of the service tolerates, 0 if any
+ *     number
  */
 public record SelectionCriteria(
-    double responseBytes, double serviceUs, int rank, double objectiveLeftUs, double leftUs) {}
+    double responseBytes,
+    double serviceUs,
+    int rank,
+    double objectiveLeftUs,
+    double leftUs,
+    double coldRequestsPerS) {
+
+  /** Creates criteria for a service whose cold targets tolerate any rate. */
+  public SelectionCriteria(
+      double responseBytes, double serviceUs, int rank, double objectiveLeftUs, double leftUs) {
+    this(responseBytes, serviceUs, rank, objectiveLeftUs, leftUs, 0);
+  }
+}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -86,7 +86,7 @@
       double otherDomainCost,
       SelectionCriteria criteria,
       long nowNanos) {
-    int slots = Math.max(1, candidate.status().slots());
+    double slots = candidate.capacity(criteria.coldRequestsPerS(), typicalUs, nowNanos);
     double meanServiceUs = candidate.serviceUs() > 0 ? candidate.serviceUs() : typicalUs;
     double ahead =
         precedesNormalCalls(criteria.rank())
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetLifecycle.java
@@ -55,7 +55,8 @@
     return phase != previous
         || !next.version().equals(current.version())
         || next.slots() != current.slots()
-        || (current.coldMs() > 0 && next.coldMs() == 0);
+        || (current.coldMs() > 0 && next.coldMs() == 0)
+        || next.coldMs() > current.coldMs();
   }
 
   // A deregistration without a start time does not say which lifetime of the id it ends. A start
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetChooserTest.java
@@ -73,6 +73,22 @@
     assertEquals(local, chooser.choose(List.of(local), each -> true, nested, 0));
   }
 
+  @Test
+  void coldTargetGetsNoMoreCallsThanRunAtItsRate() {
+    TargetStatus status =
+        new TargetStatus("i-n1", 1, "s", "v1", TargetPhase.READY, 18, 3_000, false, 1);
+    Candidate cold = new Candidate("n1", "z1", status);
+    cold.setColdUntil(3_000_000_000L);
+    assertEquals(6, cold.capacity(12, 500_000, 0));
+    assertEquals(18, cold.capacity(12, 500_000, 3_000_000_000L));
+    assertEquals(18, cold.capacity(0, 500_000, 0));
+    cold.updateLoad(new TargetLoad(6, 12, 12, 500_000, 0), 0);
+    SelectionCriteria anyRate = new SelectionCriteria(0, 500_000, URGENT, 1_300_000, 4_000_000, 0);
+    SelectionCriteria rate = new SelectionCriteria(0, 500_000, URGENT, 1_300_000, 4_000_000, 12);
+    assertEquals(cold, chooser.choose(List.of(cold), each -> true, anyRate, 0));
+    assertNull(chooser.choose(List.of(cold), each -> true, rate, 0));
+  }
+
   @Test
   void drainingTargetIsNeverSelected() {
     Candidate draining = candidate("n1", "z1", TargetPhase.DRAINING);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -108,7 +108,15 @@
             settings.service(),
             time.now().toEpochMilli());
     operatorState = new OperatorState(codec, desiredState, log, metrics);
-    gateway = new TargetGateway(vertx, settings, codec.headers(), log, metrics, time);
+    gateway =
+        new TargetGateway(
+            vertx,
+            settings,
+            codec.headers(),
+            () -> desiredState.coldRequestsPerS(settings.service()),
+            log,
+            metrics,
+            time);
     rollouts =
         new RolloutService(
             vertx,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -105,6 +105,11 @@
     this.time = time;
   }
 
+  /** Returns the requests per second that a cold target of a service tolerates, 0 if any number. */
+  double coldRequestsPerS(String service) {
+    return Math.max(0, desiredState.coldRequestsPerS(service));
+  }
+
   /** Returns the smoothed length of a route's responses. */
   double responseBytes(String route) {
     return responseBytes.getOrDefault(route, DEFAULT_RESPONSE_BYTES);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -154,7 +154,8 @@
             router.latencies.meanServiceUs(route.name()),
             rank,
             times.objectiveLeftUs(),
-            times.leftUs()),
+            times.leftUs(),
+            router.coldRequestsPerS(service)),
         router.time.nanoTime());
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -10,6 +10,7 @@
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.pace.CallEnd;
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.jspecify.annotations.Nullable;
@@ -106,6 +107,16 @@
         : ResponseKind.VALID;
   }
 
+  /** Returns what a response tells about the load of the target. */
+  CallEnd callEnd(ResponseKind kind, HttpResponse response) {
+    return switch (kind) {
+      case INVALID -> CallEnd.BROKEN;
+      case NOT_RUN ->
+          response.status() == STATUS_MISDIRECTED_REQUEST ? CallEnd.NO_EVIDENCE : CallEnd.REFUSED;
+      default -> response.status() < 300 ? CallEnd.ANSWERED : CallEnd.NO_EVIDENCE;
+    };
+  }
+
   /** Converts a response for the calling node, without the call id, which that node knows. */
   MeshResponse toMeshResponse(
       HttpResponse response, Reason reason, long serviceNanos, TargetLoad load) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -1,7 +1,11 @@
 package org.acaciapond.sidecar.target;
 
 import io.vertx.core.Vertx;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
 import org.acaciapond.http.HttpResponse;
@@ -12,6 +16,12 @@
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.pace.CallEnd;
+import org.acaciapond.mesh.pace.CapacityReport;
+import org.acaciapond.mesh.pace.ColdBounds;
+import org.acaciapond.mesh.pace.PaceState;
+import org.acaciapond.mesh.pace.PacedCall;
+import org.acaciapond.mesh.pace.TargetPacer;
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.target.CheckIn;
@@ -30,10 +40,13 @@
  */
 public final class TargetGateway {
 
+  private static final long NO_TIMER = -1;
   private static final int DEADLINE_GRACE_MS = 100;
   private static final int CLOSED_RETRY_AFTER_MS = 100;
   private static final int CLOSE_EXPIRED_INTERVAL_MS = 1_000;
   private static final int RECENT_CALL_IDS = 4_096;
+  private static final int PACE_CHECK_INTERVAL_MS = 100;
+  private static final int STUCK_RETRY_AFTER_MS = 200;
 
   private final Vertx vertx;
   private final TargetLog log;
@@ -42,7 +55,10 @@
   private final String service;
   private final TargetLifecycle lifecycle = new TargetLifecycle();
   private final TargetHealth health = new TargetHealth();
-  private final AdmissionQueue<GatewayCall> queue = new AdmissionQueue<>(health.serviceTimes());
+  private final TargetPacer pacer;
+  private final AdmissionQueue<GatewayCall> queue;
+  private final CapacityReport capacityReport;
+  private final Set<GatewayCall> sentCalls = new LinkedHashSet<>();
   private final TargetConnections connections;
   private final TargetExchange exchange;
   private final RecentRuns recentRuns = new RecentRuns(RECENT_CALL_IDS);
@@ -51,6 +67,8 @@
   private boolean nodeLeaving;
   private boolean admissionStarted;
   private long statusNumber;
+  private PaceState loggedPaceState = PaceState.OPEN;
+  private long pacedStartTimer = NO_TIMER;
 
   /** One call that is queued for the target or runs in it. */
   public final class GatewayCall {
@@ -60,10 +78,11 @@
     private final boolean idempotent;
     private @Nullable TargetConnection connection;
     private @Nullable CallRun run;
+    private @Nullable PacedCall pacedCall;
     private long sentNanos;
     private boolean running;
     private boolean ended;
-    private long timer = -1;
+    private long timer = NO_TIMER;
 
     GatewayCall(MeshCall call, Consumer<MeshResponse> handler, long deadlineNanos) {
       this.call = call;
@@ -82,11 +101,16 @@
         complete(MeshResponse.withoutAnswer(Outcome.REFUSED, Reason.CANCELLED, 0, load()));
         return;
       }
+      abandon(Reason.CANCELLED);
+    }
+
+    /** Ends a call that was sent, without waiting for its answer, and closes its connection. */
+    private void abandon(Reason reason) {
       TargetConnection used = connection;
       if (used != null) {
         used.abandon();
       }
-      complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.CANCELLED, 0, load()));
+      complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, reason, 0, load()));
     }
 
     private void complete(MeshResponse response) {
@@ -101,18 +125,36 @@
       }
       if (running) {
         running = false;
+        sentCalls.remove(this);
         health.recordEnded(call);
+        recordEnd(CallEnd.ABANDONED);
+        applyPace();
         applyReleased(queue.release(call.route(), time.nanoTime()));
+        schedulePacedStart();
       }
       handler.accept(response);
     }
+
+    /** Records the end of the call as evidence, unless it was recorded before. */
+    private void recordEnd(CallEnd end) {
+      PacedCall sent = pacedCall;
+      if (sent != null) {
+        pacer.callEnded(sent, end, time.nanoTime());
+      }
+    }
   }
 
-  /** Creates a gateway that refuses calls until {@link #startAdmission} and the first check-in. */
+  /**
+   * Creates a gateway that refuses calls until {@link #startAdmission} and the first check-in.
+   *
+   * @param coldRequestsPerS rate that the service's cold targets tolerate, 0 if any, negative while
+   *     it is not known
+   */
   public TargetGateway(
       Vertx vertx,
       SidecarSettings settings,
       CallHeaders headerNames,
+      DoubleSupplier coldRequestsPerS,
       EventLog log,
       NodeMetrics metrics,
       TimeSource time) {
@@ -121,6 +163,14 @@
     this.metrics = metrics;
     this.time = time;
     this.service = settings.service();
+    SidecarSettings.Bounds bounds = settings.bounds();
+    this.pacer =
+        new TargetPacer(
+            new ColdBounds(bounds.coldOverFactor(), bounds.coldSlack()),
+            coldRequestsPerS,
+            time.nanoTime());
+    this.queue = new AdmissionQueue<>(health.serviceTimes(), pacer);
+    this.capacityReport = new CapacityReport(time.nanoTime());
     this.exchange = new TargetExchange(headerNames);
     this.diagnostics = new TargetDiagnostics(exchange, recentRuns, this.log, metrics, time);
     this.connections =
@@ -132,6 +182,7 @@
             diagnostics::recordUnexpected,
             time);
     vertx.setPeriodic(CLOSE_EXPIRED_INTERVAL_MS, id -> connections.closeExpired());
+    vertx.setPeriodic(PACE_CHECK_INTERVAL_MS, id -> checkPace());
   }
 
   /** Sets the listener for changes of the target's status. */
@@ -173,6 +224,9 @@
       connections.closeIdle();
       health.clear();
       recentRuns.clear();
+      pacer.targetStarted(current.slots(), current.coldMs(), time.nanoTime());
+    } else {
+      pacer.targetUpdated(current.slots(), current.coldMs(), time.nanoTime());
     }
     log.statusChanged(current, previousPhase, lifecycle.phase());
     applyStatusChange();
@@ -232,22 +286,94 @@
   }
 
   private void applyStatusChange() {
-    statusNumber++;
-    CheckIn current = lifecycle.latest();
-    boolean admitting =
-        admissionStarted && lifecycle.phase() == TargetPhase.READY && current != null;
-    queue.setSlots(admitting && current != null ? current.slots() : 0);
-    if (admitting) {
-      applyReleased(queue.startQueued(time.nanoTime()));
+    applySlots();
+    if (isAdmitting()) {
+      startQueued();
     } else {
-      refuseQueuedCalls();
+      refuseQueuedCalls(Reason.CLOSED, CLOSED_RETRY_AFTER_MS);
     }
+    publishStatus();
+  }
+
+  private boolean isAdmitting() {
+    return admissionStarted && lifecycle.phase() == TargetPhase.READY;
+  }
+
+  private void applySlots() {
+    int limit = isAdmitting() ? pacer.limit(time.nanoTime()) : 0;
+    queue.setSlots(limit);
+    metrics.setTargetLimit(limit);
+  }
+
+  private void publishStatus() {
+    statusNumber++;
+    capacityReport.recordReported(pacer.state(), pacer.capacity(), time.nanoTime());
     statusListener.accept(status());
   }
 
-  private void refuseQueuedCalls() {
+  private void startQueued() {
+    applyReleased(queue.startQueued(time.nanoTime()));
+    schedulePacedStart();
+  }
+
+  // Calls that wait for the rate of a cold target are not started by the end of another call alone.
+  private void schedulePacedStart() {
+    long nowNanos = time.nanoTime();
+    double delayUs = pacer.delayUs(0, nowNanos);
+    if (queue.queued() == 0 || pacedStartTimer != NO_TIMER || delayUs <= 0) {
+      return;
+    }
+    long delayMs = Math.max(1, (long) Math.ceil(delayUs / 1e3));
+    pacedStartTimer =
+        vertx.setTimer(
+            delayMs,
+            id -> {
+              pacedStartTimer = NO_TIMER;
+              startQueued();
+            });
+  }
+
+  private void checkPace() {
+    int overdue = pacer.checkOverdue(time.nanoTime());
+    metrics.countOverdueCalls(overdue);
+    for (int i = 0; i < overdue; i++) {
+      health.recordFailure();
+    }
+    applyPace();
+    if (pacer.isStuck()) {
+      refuseQueuedCalls(Reason.FULL, STUCK_RETRY_AFTER_MS);
+      endOverdueIdempotentCalls();
+    } else if (queue.queued() > 0) {
+      startQueued();
+    }
+  }
+
+  // Their callers have time left to send them to another target.
+  private void endOverdueIdempotentCalls() {
+    for (GatewayCall call : List.copyOf(sentCalls)) {
+      PacedCall sent = call.pacedCall;
+      if (call.idempotent && sent != null && sent.isOverdue()) {
+        call.abandon(Reason.BROKEN);
+      }
+    }
+  }
+
+  private void applyPace() {
+    applySlots();
+    PaceState state = pacer.state();
+    if (state != loggedPaceState) {
+      log.paceChanged(
+          loggedPaceState, state, pacer.limit(time.nanoTime()), queue.running(), queue.queued());
+      loggedPaceState = state;
+    }
+    if (isAdmitting() && capacityReport.isDue(state, pacer.capacity(), time.nanoTime())) {
+      publishStatus();
+    }
+  }
+
+  private void refuseQueuedCalls(Reason reason, int retryAfterMs) {
     for (GatewayCall queued : queue.drainQueue()) {
-      queued.complete(refusal(Reason.CLOSED, CLOSED_RETRY_AFTER_MS));
+      queued.complete(refusal(reason, retryAfterMs));
     }
   }
 
@@ -264,8 +390,8 @@
         service,
         current.version(),
         lifecycle.phase(),
-        current.slots(),
-        current.coldMs(),
+        pacer.capacity(),
+        pacer.coldLeftMs(time.nanoTime()),
         nodeLeaving,
         statusNumber);
   }
@@ -289,6 +415,7 @@
    */
   public void recordNestedCall(MeshCall parent, boolean congested) {
     queue.recordNestedCall(parent.route(), congested, time.nanoTime());
+    pacer.nestedCallEnded(parent.route(), time.nanoTime());
   }
 
   /** Records that a nested call failed, which a call running in the target has made. */
@@ -319,6 +446,10 @@
       gatewayCall.complete(refusal(Reason.EXPIRED, 0));
       return gatewayCall;
     }
+    if (pacer.isStuck() && !pacer.mayProbe(call.idempotent(), queue.running(), nowNanos)) {
+      gatewayCall.complete(refusal(Reason.FULL, STUCK_RETRY_AFTER_MS));
+      return gatewayCall;
+    }
     gatewayCall.timer =
         vertx.setTimer(call.leftMs() + DEADLINE_GRACE_MS, id -> expire(gatewayCall));
     CallClass callClass =
@@ -334,9 +465,7 @@
     switch (result.decision()) {
       case RUN -> run(gatewayCall);
       case REFUSE -> gatewayCall.complete(refusal(Reason.FULL, result.retryAfterMs()));
-      default -> {
-        // A queued call ends when a slot is freed, at its deadline or when it is cancelled.
-      }
+      default -> schedulePacedStart();
     }
     return gatewayCall;
   }
@@ -355,11 +484,7 @@
       call.complete(refusal(Reason.EXPIRED, 0));
       return;
     }
-    TargetConnection used = call.connection;
-    if (used != null) {
-      used.abandon();
-    }
-    call.complete(MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.EXPIRED, 0, load()));
+    call.abandon(Reason.EXPIRED);
   }
 
   private void applyReleased(AdmissionQueue.Released<GatewayCall> released) {
@@ -383,6 +508,7 @@
         connection -> send(call, connection),
         error -> {
           health.recordFailure();
+          pacer.connectFailed(time.nanoTime());
           log.unreachable(call.call, error);
           call.complete(refusal(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
@@ -402,7 +528,14 @@
       gatewayCall.complete(refusal(refusalReason, CLOSED_RETRY_AFTER_MS));
       return;
     }
+    if (!pacer.trySend(nowNanos)) {
+      connections.release(connection);
+      gatewayCall.complete(refusal(Reason.FULL, queue.retryAfterMs()));
+      return;
+    }
     MeshCall call = gatewayCall.call;
+    gatewayCall.pacedCall = pacer.callSent(call.route(), nowNanos);
+    sentCalls.add(gatewayCall);
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
     gatewayCall.run = diagnostics.recordSent(call, connection);
@@ -429,6 +562,7 @@
     MeshCall call = gatewayCall.call;
     TargetExchange.ResponseKind kind = exchange.classify(response);
     releaseAfter(kind, connection);
+    gatewayCall.recordEnd(exchange.callEnd(kind, response));
     switch (kind) {
       case NOT_RUN -> {
         health.recordFailure();
@@ -470,6 +604,7 @@
     if (gatewayCall.ended) {
       return;
     }
+    gatewayCall.recordEnd(CallEnd.BROKEN);
     health.recordFailure();
     long elapsedNanos = time.nanoTime() - gatewayCall.sentNanos;
     metrics.recordTargetTime("broken", elapsedNanos);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetLog.java
@@ -4,6 +4,7 @@
 import org.acaciapond.http.ResponseHead;
 import org.acaciapond.http.UnexpectedResponse;
 import org.acaciapond.mesh.call.MeshCall;
+import org.acaciapond.mesh.pace.PaceState;
 import org.acaciapond.mesh.target.CheckIn;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.sidecar.telemetry.EventLog;
@@ -34,6 +35,8 @@
         checkIn.version(),
         "slots",
         checkIn.slots(),
+        "cold_ms",
+        checkIn.coldMs(),
         "from",
         from,
         "to",
@@ -52,6 +55,21 @@
     log.event("door_settled", "phase", phase);
   }
 
+  void paceChanged(PaceState from, PaceState to, int limit, int running, int queued) {
+    log.event(
+        "target_pace",
+        "from",
+        from,
+        "to",
+        to,
+        "limit",
+        limit,
+        "running",
+        running,
+        "queued",
+        queued);
+  }
+
   void unreachable(MeshCall call, Throwable error) {
     log.request("target_unreachable", "id", call.id(), "error", error.getMessage());
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -37,6 +37,8 @@
   private final Gauge exposureViolations;
   private final Gauge routesOfUnknownKind;
   private final Gauge skippedEntries;
+  private final Gauge targetLimit;
+  private final Counter overdueCalls;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -85,6 +87,12 @@
         registerGauge(
             "acaciapond_skipped_state_entries",
             "Entries of the desired state in force that were skipped as invalid.");
+    targetLimit =
+        registerGauge("acaciapond_target_limit", "Calls that may run in the target at once.");
+    overdueCalls =
+        registerCounter(
+            "acaciapond_target_overdue_calls_total",
+            "Calls that ran in the target far longer than such calls usually take.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -190,6 +198,16 @@
     skippedEntries.set(count);
   }
 
+  /** Sets the number of calls that may run in the target at once. */
+  public void setTargetLimit(int limit) {
+    targetLimit.set(limit);
+  }
+
+  /** Counts calls that run in the target far longer than such calls usually take. */
+  public void countOverdueCalls(int count) {
+    overdueCalls.inc(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.DoubleSupplier;
 import org.acaciapond.adapter.JsonPlatformCodec;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.call.MeshCall;
@@ -30,6 +31,16 @@
 
   /** Creates a gateway that admits no calls yet. */
   static TargetGateway newGateway(Vertx vertx, int targetPort, EventLog log, NodeMetrics metrics) {
+    return newGateway(vertx, targetPort, () -> 0, log, metrics);
+  }
+
+  /** Creates such a gateway for a service whose cold targets tolerate the given rate. */
+  static TargetGateway newGateway(
+      Vertx vertx,
+      int targetPort,
+      DoubleSupplier coldRequestsPerS,
+      EventLog log,
+      NodeMetrics metrics) {
     SocketAddressSetting unused = new SocketAddressSetting(HOST, 1);
     SidecarSettings settings =
         new SidecarSettings(
@@ -49,6 +60,7 @@
         vertx,
         settings,
         new JsonPlatformCodec(MAX_STATE_BYTES).headers(),
+        coldRequestsPerS,
         log,
         metrics,
         TimeSource.system());
@@ -69,7 +81,12 @@
 
   /** Applies a check-in of the target's lifetime that started at the given time. */
   static void checkIn(TargetGateway gateway, long startedMs) {
-    gateway.applyCheckIn(new CheckIn(TARGET_ID, startedMs, 1, SERVICE, "v1", 1, false, 0));
+    checkIn(gateway, startedMs, 0);
+  }
+
+  /** Applies a check-in of a target that is cold for the given time. */
+  static void checkIn(TargetGateway gateway, long startedMs, int coldMs) {
+    gateway.applyCheckIn(new CheckIn(TARGET_ID, startedMs, 1, SERVICE, "v1", 1, false, coldMs));
   }
 
   /** Returns an idempotent call to the target. */
