--- a/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
+++ b/acaciapond-bench/src/main/java/org/acaciapond/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import org.acaciapond.bench.load.LoadCommand;
 import org.acaciapond.bench.load.PortsCommand;
 import org.acaciapond.bench.membership.MembershipCommand;
+import org.acaciapond.bench.pace.PaceCommand;
 import org.acaciapond.bench.quota.QuotaCommand;
 import org.acaciapond.bench.rollout.RolloutCommand;
 import org.acaciapond.bench.target.TargetCommand;
@@ -27,6 +28,7 @@
               "converge", args -> System.exit(ConvergeCommand.run(args)),
               "membership", MembershipCommand::run,
               "quota", QuotaCommand::run,
+              "pace", PaceCommand::run,
               "rollout", RolloutCommand::run));
 
   /** Command of the binary. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -186,7 +186,8 @@
             router.latencies.meanServiceUs(route.name()),
             rank,
             times.objectiveLeftUs(),
-            times.leftUs()),
+            times.leftUs(),
+            router.coldRequestsPerS(service)),
         router.time.nanoTime());
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -1,8 +1,12 @@
 package org.acaciapond.sidecar.target;
 
 import io.vertx.core.Vertx;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
 import org.acaciapond.http.HttpResponse;
@@ -14,6 +18,12 @@
 import org.acaciapond.mesh.call.OpenCall;
 import org.acaciapond.mesh.call.Outcome;
 import org.acaciapond.mesh.call.Reason;
+import org.acaciapond.mesh.pace.CallEnd;
+import org.acaciapond.mesh.pace.CapacityReport;
+import org.acaciapond.mesh.pace.ColdBounds;
+import org.acaciapond.mesh.pace.PaceState;
+import org.acaciapond.mesh.pace.PacedCall;
+import org.acaciapond.mesh.pace.TargetPacer;
 import org.acaciapond.mesh.platform.CallHeaders;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.target.CheckIn;
@@ -32,10 +42,13 @@
  */
 public final class TargetGateway {
 
+  private static final long NO_TIMER = -1;
   private static final long DEADLINE_GRACE_NANOS = 100_000_000L;
   private static final int CLOSED_RETRY_AFTER_MS = 100;
   private static final int CLOSE_EXPIRED_INTERVAL_MS = 1_000;
   private static final int RECENT_CALL_IDS = 4_096;
+  private static final int PACE_CHECK_INTERVAL_MS = 100;
+  private static final int STUCK_RETRY_AFTER_MS = 200;
 
   private final Vertx vertx;
   private final TargetLog log;
@@ -44,7 +57,10 @@
   private final String service;
   private final TargetLifecycle lifecycle = new TargetLifecycle();
   private final TargetHealth health = new TargetHealth();
-  private final AdmissionQueue<GatewayCall> queue = new AdmissionQueue<>(health.serviceTimes());
+  private final TargetPacer pacer;
+  private final AdmissionQueue<GatewayCall> queue;
+  private final CapacityReport capacityReport;
+  private final Set<GatewayCall> sentCalls = new LinkedHashSet<>();
   private final TargetConnections connections;
   private final TargetExchange exchange;
   private final RecentRuns recentRuns = new RecentRuns(RECENT_CALL_IDS);
@@ -54,6 +70,8 @@
   private boolean admissionStarted;
   private long statusNumber;
   private int announcedCalls;
+  private PaceState loggedPaceState = PaceState.OPEN;
+  private long pacedStartTimer = NO_TIMER;
 
   /** One call that is queued for the target or runs in it. */
   public final class GatewayCall implements OpenCall {
@@ -64,10 +82,11 @@
     private @Nullable TargetConnection connection;
     private @Nullable CallRun run;
     private long latestStartNanos;
+    private @Nullable PacedCall pacedCall;
     private long sentNanos;
     private boolean running;
     private boolean ended;
-    private long timer = -1;
+    private long timer = NO_TIMER;
 
     GatewayCall(MeshCall call, Consumer<MeshResponse> handler, long deadlineNanos) {
       this.call = call;
@@ -122,18 +141,36 @@
       }
       if (running) {
         running = false;
+        sentCalls.remove(this);
         health.recordEnded(call);
+        recordEnd(CallEnd.ABANDONED);
+        applyPace();
         applyReleased(queue.release(call.route(), time.nanoTime()));
+        schedulePacedStart();
       }
       handler.accept(response);
     }
+
+    /** Records the end of the call as evidence, unless it was recorded before. */
+    private void recordEnd(CallEnd end) {
+      PacedCall sent = pacedCall;
+      if (sent != null) {
+        pacer.callEnded(sent, end, time.nanoTime());
+      }
+    }
   }
 
-  /** Creates a gateway that refuses calls until {@link #startAdmission} and the first check-in. */
+  /**
+   * Creates a gateway that refuses calls until {@link #startAdmission} and the first check-in.
+   *
+   * @param coldRequestsPerS rate that the service's cold targets tolerate, 0 if any, negative while
+   *     it is not known
+   */
   public TargetGateway(
       Vertx vertx,
       SidecarSettings settings,
       CallHeaders headerNames,
+      DoubleSupplier coldRequestsPerS,
       EventLog log,
       NodeMetrics metrics,
       TimeSource time) {
@@ -142,6 +179,14 @@
     this.metrics = metrics;
     this.time = time;
     this.service = settings.service();
+    SidecarSettings.Bounds bounds = settings.bounds();
+    this.pacer =
+        new TargetPacer(
+            new ColdBounds(bounds.coldOverFactor(), bounds.coldSlack()),
+            coldRequestsPerS,
+            time.nanoTime());
+    this.queue = new AdmissionQueue<>(health.serviceTimes(), pacer);
+    this.capacityReport = new CapacityReport(time.nanoTime());
     this.exchange = new TargetExchange(headerNames);
     this.diagnostics = new TargetDiagnostics(exchange, recentRuns, this.log, metrics, time);
     this.connections =
@@ -153,6 +198,7 @@
             diagnostics::recordUnexpected,
             time);
     vertx.setPeriodic(CLOSE_EXPIRED_INTERVAL_MS, id -> connections.closeExpired());
+    vertx.setPeriodic(PACE_CHECK_INTERVAL_MS, id -> checkPace());
   }
 
   /** Sets the listener for changes of the target's status. */
@@ -194,6 +240,9 @@
       connections.closeIdle();
       health.clear();
       recentRuns.clear();
+      pacer.targetStarted(current.slots(), current.coldMs(), time.nanoTime());
+    } else {
+      pacer.targetUpdated(current.slots(), current.coldMs(), time.nanoTime());
     }
     log.statusChanged(current, previousPhase, lifecycle.phase());
     applyStatusChange();
@@ -253,22 +302,94 @@
   }
 
   private void applyStatusChange() {
-    statusNumber++;
-    CheckIn current = lifecycle.latest();
-    boolean admitting =
-        admissionStarted && lifecycle.phase() == TargetPhase.READY && current != null;
-    queue.setSlots(admitting && current != null ? current.slots() : 0);
-    if (admitting) {
-      applyReleased(queue.startQueued(time.nanoTime()));
+    applySlots();
+    if (isAdmitting()) {
+      startQueued();
     } else {
-      refuseQueuedCalls();
+      refuseQueuedCalls(Reason.CLOSED, CLOSED_RETRY_AFTER_MS);
     }
+    publishStatus();
+  }
+
+  private boolean isAdmitting() {
+    return admissionStarted && lifecycle.phase() == TargetPhase.READY;
+  }
+
+  private void applySlots() {
+    int limit = isAdmitting() ? pacer.limit(time.nanoTime()) : 0;
+    queue.setSlots(limit);
+    metrics.setTargetLimit(limit);
+  }
+
+  private void publishStatus() {
+    statusNumber++;
+    capacityReport.recordReported(pacer.state(), pacer.capacity(), time.nanoTime());
     statusListener.accept(status());
   }
 
-  private void refuseQueuedCalls() {
+  private void startQueued() {
+    applyReleased(queue.startQueued(time.nanoTime()));
+    schedulePacedStart();
+  }
+
+  // Calls that wait for the rate of a cold target are not started by the end of another call alone.
+  private void schedulePacedStart() {
+    long nowNanos = time.nanoTime();
+    double delayUs = pacer.delayUs(0, nowNanos);
+    if (queue.queued() == 0 || pacedStartTimer != NO_TIMER || delayUs <= 0) {
+      return;
+    }
+    long delayMs = Math.max(1, (long) Math.ceil(delayUs / 1e3));
+    pacedStartTimer =
+        vertx.setTimer(
+            delayMs,
+            id -> {
+              pacedStartTimer = NO_TIMER;
+              startQueued();
+            });
+  }
+
+  private void checkPace() {
+    int overdue = pacer.checkOverdue(time.nanoTime());
+    metrics.countOverdueCalls(overdue);
+    for (int i = 0; i < overdue; i++) {
+      health.recordFailure();
+    }
+    applyPace();
+    if (pacer.isStuck()) {
+      refuseQueuedCalls(Reason.FULL, STUCK_RETRY_AFTER_MS);
+      endOverdueIdempotentCalls();
+    } else if (queue.queued() > 0) {
+      startQueued();
+    }
+  }
+
+  // Their callers have time left to send them to another target.
+  private void endOverdueIdempotentCalls() {
+    for (GatewayCall call : List.copyOf(sentCalls)) {
+      PacedCall sent = call.pacedCall;
+      if (call.idempotent && sent != null && sent.isOverdue()) {
+        call.end(Reason.BROKEN);
+      }
+    }
+  }
+
+  private void applyPace() {
+    applySlots();
+    PaceState state = pacer.state();
+    if (state != loggedPaceState) {
+      log.paceChanged(
+          loggedPaceState, state, pacer.limit(time.nanoTime()), queue.running(), queue.queued());
+      loggedPaceState = state;
+    }
+    if (isAdmitting() && capacityReport.isDue(state, pacer.capacity(), time.nanoTime())) {
+      publishStatus();
+    }
+  }
+
+  private void refuseQueuedCalls(Reason reason, int retryAfterMs) {
     for (GatewayCall queued : queue.drainQueue()) {
-      queued.complete(refusal(Reason.CLOSED, CLOSED_RETRY_AFTER_MS));
+      queued.complete(refusal(reason, retryAfterMs));
     }
   }
 
@@ -285,8 +406,8 @@
         service,
         current.version(),
         lifecycle.phase(),
-        current.slots(),
-        current.coldMs(),
+        pacer.capacity(),
+        pacer.coldLeftMs(time.nanoTime()),
         nodeLeaving,
         statusNumber);
   }
@@ -316,6 +437,7 @@
    */
   public void recordNestedCall(MeshCall parent, boolean congested) {
     queue.recordNestedCall(parent.route(), congested, time.nanoTime());
+    pacer.nestedCallEnded(parent.route(), time.nanoTime());
   }
 
   /** Records that a nested call failed, which a call running in the target has made. */
@@ -379,6 +501,10 @@
       gatewayCall.complete(refusal(Reason.EXPIRED, 0));
       return gatewayCall;
     }
+    if (pacer.isStuck() && !pacer.mayProbe(call.idempotent(), queue.running(), nowNanos)) {
+      gatewayCall.complete(refusal(Reason.FULL, STUCK_RETRY_AFTER_MS));
+      return gatewayCall;
+    }
     CallClass callClass =
         new CallClass(
             call.route(),
@@ -393,7 +519,10 @@
     switch (result.decision()) {
       case RUN -> run(gatewayCall);
       case REFUSE -> gatewayCall.complete(refusal(Reason.FULL, result.retryAfterMs()));
-      default -> gatewayCall.endAt(gatewayCall.latestStartNanos);
+      default -> {
+        gatewayCall.endAt(gatewayCall.latestStartNanos);
+        schedulePacedStart();
+      }
     }
     return gatewayCall;
   }
@@ -435,6 +564,7 @@
         connection -> send(call, connection),
         error -> {
           health.recordFailure();
+          pacer.connectFailed(time.nanoTime());
           log.unreachable(call.call, error);
           call.complete(refusal(Reason.UNREACHABLE, CLOSED_RETRY_AFTER_MS));
         });
@@ -458,7 +588,14 @@
       gatewayCall.complete(refusal(refusalReason, CLOSED_RETRY_AFTER_MS));
       return;
     }
+    if (!pacer.trySend(nowNanos)) {
+      connections.release(connection);
+      gatewayCall.complete(refusal(Reason.FULL, queue.retryAfterMs()));
+      return;
+    }
     MeshCall call = gatewayCall.call;
+    gatewayCall.pacedCall = pacer.callSent(call.route(), nowNanos);
+    sentCalls.add(gatewayCall);
     gatewayCall.connection = connection;
     gatewayCall.sentNanos = nowNanos;
     gatewayCall.run = diagnostics.recordSent(call, connection);
@@ -486,6 +623,7 @@
     MeshCall call = gatewayCall.call;
     TargetExchange.ResponseKind kind = exchange.classify(response);
     releaseAfter(kind, connection);
+    gatewayCall.recordEnd(exchange.callEnd(kind, response));
     switch (kind) {
       case NOT_RUN -> {
         health.recordFailure();
@@ -527,6 +665,7 @@
     if (gatewayCall.ended) {
       return;
     }
+    gatewayCall.recordEnd(CallEnd.BROKEN);
     health.recordFailure();
     long elapsedNanos = time.nanoTime() - gatewayCall.sentNanos;
     metrics.recordTargetTime("broken", elapsedNanos);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -40,6 +40,8 @@
   private final Gauge skippedEntries;
   private final Counter limitedRequests;
   private final Counter limitMessages;
+  private final Gauge targetLimit;
+  private final Counter overdueCalls;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -98,6 +100,12 @@
             "acaciapond_limit_messages_total",
             "Messages of shared limits sent to other nodes.",
             "kind");
+    targetLimit =
+        registerGauge("acaciapond_target_limit", "Calls that may run in the target at once.");
+    overdueCalls =
+        registerCounter(
+            "acaciapond_target_overdue_calls_total",
+            "Calls that ran in the target far longer than such calls usually take.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -213,6 +221,16 @@
     limitMessages.labelValues(message.getClass().getSimpleName().toLowerCase(Locale.ROOT)).inc();
   }
 
+  /** Sets the number of calls that may run in the target at once. */
+  public void setTargetLimit(int limit) {
+    targetLimit.set(limit);
+  }
+
+  /** Counts calls that run in the target far longer than such calls usually take. */
+  public void countOverdueCalls(int count) {
+    overdueCalls.inc(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
