Bound the asks for tokens of a limit without room

Nodes that got no token refuse on their own for a time that grows with the number of nodes, so that the asks of all nodes for one limit stay near 500 a second at its collecting node.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/AskQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/AskQueue.java
@@ -13,8 +13,6 @@
 
   private static final long MS = 1_000_000L;
   private static final int MAX_SPACING_MS = 60_000;
-  // Each node that is full asks about once in this time and refuses on its own in between.
-  private static final double REFUSAL_INTERVAL_S = 0.1;
   private static final double SPARE_STOCK_SHARE = 0.25;
 
   private final LimitState limit;
@@ -25,6 +23,14 @@
   private long returnNanos;
   private long queuedRequests;
 
+  /**
+   * Supply of tokens.
+   *
+   * @param tokensPerS tokens that the nodes in reach produce
+   * @param refusalNanos time for which a node refuses on its own before it asks again
+   */
+  record Supply(double tokensPerS, long refusalNanos) {}
+
   /** Recipient of the reply to an ask. */
   @FunctionalInterface
   interface GrantReply {
@@ -96,27 +102,27 @@
    * Refuses the newest asks beyond what can be granted.
    *
    * @param expected amount that will be in stock in time
-   * @param producedPerS tokens that the nodes in reach produce
+   * @param supply what the nodes in reach produce
    */
-  void refuseBeyond(long expected, double producedPerS, long nowNanos) {
+  void refuseBeyond(long expected, Supply supply, long nowNanos) {
     while (!queue.isEmpty() && queuedRequests * TokenStock.TOKEN > expected) {
-      refuse(queue.removeLast(), producedPerS, nowNanos);
+      refuse(queue.removeLast(), supply, nowNanos);
     }
   }
 
   /** Refuses the asks that have waited for a time. */
-  void refuseOverdue(long holdNanos, double producedPerS, long nowNanos) {
+  void refuseOverdue(long holdNanos, Supply supply, long nowNanos) {
     while (!queue.isEmpty() && nowNanos - queue.peek().receivedNanos() > holdNanos) {
-      refuse(queue.remove(), producedPerS, nowNanos);
+      refuse(queue.remove(), supply, nowNanos);
     }
   }
 
-  private void refuse(QueuedAsk ask, double producedPerS, long nowNanos) {
+  private void refuse(QueuedAsk ask, Supply supply, long nowNanos) {
     int requests = ask.ask().waiting();
     queuedRequests -= requests;
     long freeTokens = limit.stock.total() / TokenStock.TOKEN - queuedRequests;
     int granted = (int) Math.max(0, Math.min(requests, freeTokens));
-    long intervalNanos = (long) (1e9 / producedPerS);
+    long intervalNanos = (long) (1e9 / supply.tokensPerS());
     long queuedNanos = Math.max(0, -freeTokens) * intervalNanos;
     long atNanos = Math.max(returnNanos, nowNanos + queuedNanos) + intervalNanos;
     int retryAfterMs = (int) Math.max(1, (atNanos - nowNanos + MS - 1) / MS);
@@ -124,7 +130,7 @@
       returnNanos = atNanos + Math.max(0, requests - granted - 1) * intervalNanos;
     }
     refusedAsks.record(1, nowNanos);
-    double fullNodes = Math.max(1, refusedAsks.perS(nowNanos) * REFUSAL_INTERVAL_S);
+    double fullNodes = Math.max(1, refusedAsks.perS(nowNanos) * supply.refusalNanos() / 1e9);
     int spacingMs = (int) Math.max(1, Math.min(MAX_SPACING_MS, fullNodes * intervalNanos / MS));
     reply(ask, granted * TokenStock.TOKEN, retryAfterMs, spacingMs, nowNanos);
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Collector.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/Collector.java
@@ -122,19 +122,20 @@
     if (collection.asks.isEmpty()) {
       return;
     }
-    double producedPerS = reachablePerS(collection, nodes);
+    AskQueue.Supply supply = supply(collection, nodes);
     long expected =
         collection.limit.stock.total()
             + collection.pulling
-            + (long) (producedPerS * HOLD_NANOS / 1e9 * TokenStock.TOKEN)
+            + (long) (supply.tokensPerS() * HOLD_NANOS / 1e9 * TokenStock.TOKEN)
             + pullable(collection, nodes, nowNanos);
-    collection.asks.refuseBeyond(expected, producedPerS, nowNanos);
+    collection.asks.refuseBeyond(expected, supply, nowNanos);
   }
 
-  // Tokens that the nodes in reach produce.
-  private double reachablePerS(Collecting collection, int nodes) {
-    double share = Math.min(1, (others.size() + 1.0) / Math.max(1, nodes));
-    return collection.limit.policy().tokensPerS() * share;
+  private AskQueue.Supply supply(Collecting collection, int nodes) {
+    double reachableShare = Math.min(1, (others.size() + 1.0) / Math.max(1, nodes));
+    return new AskQueue.Supply(
+        collection.limit.policy().tokensPerS() * reachableShare,
+        collection.limit.refusalNanos(nodes));
   }
 
   private long pullable(Collecting collection, int nodes, long nowNanos) {
@@ -245,7 +246,7 @@
     for (Collecting collection : new ArrayList<>(collections.values())) {
       collection.limit.update(nodes, nowNanos);
       collection.asks.serve(nowNanos);
-      collection.asks.refuseOverdue(HOLD_NANOS, reachablePerS(collection, nodes), nowNanos);
+      collection.asks.refuseOverdue(HOLD_NANOS, supply(collection, nodes), nowNanos);
       if (collection.asks.isEmpty() && nowNanos - collection.asks.askedNanos() > ACTIVE_NANOS) {
         collections.remove(collection.limit.name);
       } else {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
@@ -10,6 +10,11 @@
 
   private static final int ACCRUALS_PER_LIFETIME = 8;
 
+  private static final double MIN_ASKS_PER_S = 500;
+  private static final double ASKS_PER_TOKEN = 4;
+  private static final double MIN_REFUSAL_S = 0.1;
+  private static final double MAX_REFUSAL_S = 2;
+
   final String name;
   final TokenStock stock = new TokenStock();
   // Requests at this node, and at the collecting node those of all nodes.
@@ -72,6 +77,15 @@
     accruedNanos = nowNanos;
   }
 
+  /**
+   * Returns the time for which a node that got no token refuses further requests without asking, so
+   * that the asks of many nodes do not load the collecting node.
+   */
+  long refusalNanos(int nodes) {
+    double asksPerS = Math.max(MIN_ASKS_PER_S, ASKS_PER_TOKEN * policy.tokensPerS());
+    return (long) (Math.max(MIN_REFUSAL_S, Math.min(MAX_REFUSAL_S, nodes / asksPerS)) * 1e9);
+  }
+
   boolean hasToken() {
     return stock.total() >= TokenStock.TOKEN;
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -23,8 +23,6 @@
   private static final long MAX_WAIT_NANOS = 600 * MS;
   private static final long MAX_REPLY_NANOS = 5_000 * MS;
   private static final long AVOID_SILENT_COLLECTOR_NANOS = 2_000 * MS;
-  // After a refusal, further requests of the limit are refused here without asking.
-  private static final long MAX_NO_ROOM_NANOS = 100 * MS;
   private static final double SPARE_HORIZON_S = 0.3;
   private static final double RESERVE_HORIZON_S = 0.25;
   private static final int MAX_WAITING = 256;
@@ -293,10 +291,10 @@
     }
   }
 
-  private static void refuse(LimitState limit, int retryAfterMs, int spacingMs, long nowNanos) {
+  private void refuse(LimitState limit, int retryAfterMs, int spacingMs, long nowNanos) {
     limit.spacingMs = spacingMs;
     limit.nextReturnNanos = nowNanos + (retryAfterMs - spacingMs) * MS;
-    limit.noRoomUntilNanos = nowNanos + Math.min(retryAfterMs * MS, MAX_NO_ROOM_NANOS);
+    limit.noRoomUntilNanos = nowNanos + Math.min(retryAfterMs * MS, limit.refusalNanos(knownNodes));
     for (LimitState.Waiting each : limit.drainWaiting()) {
       each.waiter().refused(nextReturnMs(limit, nowNanos));
     }
