--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -341,7 +341,7 @@
     }
     applyPace();
     if (pacer.isStuck()) {
-      refuseQueuedCalls(Reason.FULL, STUCK_RETRY_AFTER_MS);
+      refuseQueuedCalls(Reason.UNREACHABLE, STUCK_RETRY_AFTER_MS);
       endOverdueIdempotentCalls();
     } else if (queue.queued() > 0) {
       startQueued();
@@ -447,7 +447,7 @@
       return gatewayCall;
     }
     if (pacer.isStuck() && !pacer.mayProbe(call.idempotent(), queue.running(), nowNanos)) {
-      gatewayCall.complete(refusal(Reason.FULL, STUCK_RETRY_AFTER_MS));
+      gatewayCall.complete(refusal(Reason.UNREACHABLE, STUCK_RETRY_AFTER_MS));
       return gatewayCall;
     }
     gatewayCall.timer =
