Evacuate failure domains that the operator names

An order op/evacuate/DOMAIN was decoded and ignored, and removed rows were not sent to peers, so a node that does not read the store could not learn the end of an order.

Nodes keep the operator's rows complete up to a version of the store: a row that is not held and not above it was removed. Hello and Status carry that version and a digest of the rows; StateDeltas carries it with the keys that are removed. The gateway refuses calls to targets of an evacuated domain, callers choose others. OperatorRowsTest checks removals, late rows and 200 seeded orders of pulls; EvacuationTest runs whole nodes, also with a silent store and a restart.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerCodec.java
@@ -69,11 +69,13 @@
       writeNode(out, hello.node());
       out.packLong(hello.rowVersion()).packBoolean(hello.wantsNodes()).packLong(hello.sentMs());
       out.packBoolean(hello.acceptsParts());
+      StateCodec.writeSummary(out, hello.state());
     } else if (message instanceof PeerMessage.Status status) {
       out.packInt(STATUS);
       writeStatus(out, status.status());
       writeLoad(out, status.load());
       out.packLong(status.rowVersion()).packBoolean(status.readsStore());
+      StateCodec.writeSummary(out, status.state());
     } else if (message instanceof PeerMessage.Call call) {
       out.packInt(CALL).packLong(call.callNumber());
       writeCall(out, call.call());
@@ -96,7 +98,7 @@
       StateCodec.writeRequest(out, request);
     } else if (message instanceof PeerMessage.StateDeltas deltas) {
       out.packInt(STATE_DELTAS);
-      StateCodec.writeDeltas(out, deltas.rows());
+      StateCodec.writeDeltas(out, deltas);
     } else if (message instanceof PeerMessage.StateRows rows) {
       out.packInt(STATE_ROWS);
       StateCodec.writeRows(out, rows.rows());
@@ -132,9 +134,15 @@
               in.unpackLong(),
               in.unpackBoolean(),
               PackedFields.readOptionalLong(in),
-              in.hasNext() && in.unpackBoolean());
+              in.hasNext() && in.unpackBoolean(),
+              StateCodec.readSummary(in));
       case STATUS ->
-          new PeerMessage.Status(readStatus(in), readLoad(in), in.unpackLong(), in.unpackBoolean());
+          new PeerMessage.Status(
+              readStatus(in),
+              readLoad(in),
+              in.unpackLong(),
+              in.unpackBoolean(),
+              StateCodec.readSummary(in));
       case CALL -> {
         long number = in.unpackLong();
         MeshCall call = readCall(in);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
 import org.acaciapond.rollout.evidence.RouteCounts;
+import org.jspecify.annotations.Nullable;
 
 /** Message between two nodes. */
 public sealed interface PeerMessage {
@@ -21,9 +22,15 @@
    * @param sentMs monotonic time of the sender, 0 if unknown
    * @param acceptsParts whether the sender can read {@link ResponsePart}; nodes of earlier releases
    *     cannot
+   * @param state summary of the operator rows at the sender; null if it is of an earlier release
    */
   record Hello(
-      NodeRecord node, long rowVersion, boolean wantsNodes, long sentMs, boolean acceptsParts)
+      NodeRecord node,
+      long rowVersion,
+      boolean wantsNodes,
+      long sentMs,
+      boolean acceptsParts,
+      @Nullable StateSummary state)
       implements PeerMessage {}
 
   /**
@@ -33,8 +40,14 @@
    * @param load load of the target
    * @param rowVersion highest version of the operator rows at the sender
    * @param readsStore whether the sender can read the store, according to its latest read
+   * @param state summary of the operator rows at the sender; null if it is of an earlier release
    */
-  record Status(TargetStatus status, TargetLoad load, long rowVersion, boolean readsStore)
+  record Status(
+      TargetStatus status,
+      TargetLoad load,
+      long rowVersion,
+      boolean readsStore,
+      @Nullable StateSummary state)
       implements PeerMessage {}
 
   /**
@@ -81,8 +94,16 @@
    */
   record StateRequest(boolean acceptsDeltas, List<HeldRow> held) implements PeerMessage {}
 
-  /** Operator rows that are newer than those that the receiver holds. */
-  record StateDeltas(List<RowDelta> rows) implements PeerMessage {}
+  /**
+   * Operator rows that are newer than those that the receiver holds.
+   *
+   * @param rows the rows
+   * @param completeTo version of the store up to which the sender knows all rows, -1 if it is of an
+   *     earlier release
+   * @param removed keys that the receiver holds and that are removed as of that version
+   */
+  record StateDeltas(List<RowDelta> rows, long completeTo, List<String> removed)
+      implements PeerMessage {}
 
   /**
    * Operator rows that the sender knows.
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,7 +18,10 @@
  */
 public final class RowHistory {
 
-  private static final long WHOLE = 0;
+  /** Version of a row that is requested as a whole. */
+  public static final long WHOLE = 0;
+
+  private static final long NO_VERSION = -1;
   private static final byte[] EMPTY = {};
   // A node that is further behind receives the whole row.
   private static final int MAX_VALUES_PER_ROW = 8;
@@ -69,6 +73,17 @@
     rows.remove(key);
   }
 
+  /** Returns the keys of the current rows. */
+  public Set<String> keys() {
+    return Set.copyOf(rows.keySet());
+  }
+
+  /** Returns the version of a row, -1 if there is none. */
+  public long versionOf(String key) {
+    Values values = rows.get(key);
+    return values == null ? NO_VERSION : values.current().rowVersion();
+  }
+
   /** Returns the current rows. */
   public List<PeerMessage.StateRow> current() {
     return rows.values().stream().map(Values::current).toList();
--- /dev/null
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateSummary.java
@@ -0,0 +1,11 @@
+package org.acaciapond.mesh.peer;
+
+/**
+ * Summary of the operator rows that a node holds, by which two nodes find out whether one of them
+ * lacks a row or holds a removed one.
+ *
+ * @param completeTo version of the store up to which the node knows all rows and all removals, -1
+ *     for none
+ * @param digest digest of the keys and versions of the rows, independent of their order
+ */
+public record StateSummary(long completeTo, long digest) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
@@ -215,8 +215,7 @@
       int share = sharePermille(order, nowNanos);
       if (draw * 1000 < share && budgetOf(order).allowsCall()) {
         Predicate<Candidate> newTargets = newVersionTargets(order.toVersion(), candidates, share);
-        if (candidates.stream()
-            .anyMatch(each -> each.status().acceptsCalls() && newTargets.test(each))) {
+        if (candidates.stream().anyMatch(each -> each.acceptsCalls() && newTargets.test(each))) {
           return newTargets;
         }
       }
@@ -242,7 +241,7 @@
     List<String> ids = new ArrayList<>();
     for (Candidate candidate : candidates) {
       TargetStatus status = candidate.status();
-      if (status.acceptsCalls() && status.version().equals(version)) {
+      if (candidate.acceptsCalls() && status.version().equals(version)) {
         ids.add(status.id());
       }
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -24,6 +24,7 @@
   private long coldUntilNanos;
   private double slowness = 1;
   private int slownessSamples;
+  private boolean evacuated;
 
   /** Creates a candidate. */
   public Candidate(String node, String domain, TargetStatus status) {
@@ -58,6 +59,16 @@
     status = next;
   }
 
+  /** Sets whether the failure domain of the target is evacuated. */
+  public void setEvacuated(boolean value) {
+    evacuated = value;
+  }
+
+  /** Returns whether calls may be sent to the target. */
+  public boolean acceptsCalls() {
+    return !evacuated && status.acceptsCalls();
+  }
+
   /** Sets the monotonic time until which the target is slow after its start. */
   public void setColdUntil(long untilNanos) {
     coldUntilNanos = untilNanos;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -68,7 +68,7 @@
     Candidate best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (Candidate candidate : candidates) {
-      if (!candidate.status().acceptsCalls() || !allowed.test(candidate)) {
+      if (!candidate.acceptsCalls() || !allowed.test(candidate)) {
         continue;
       }
       double cost = cost(candidate, typicalUs, otherDomainCost, criteria, nowNanos);
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -40,13 +40,15 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, null));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, new StateSummary(9, -4)));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
             new TargetLoad(1, 2, 2, 3, 4),
             8,
-            true));
+            true,
+            new StateSummary(9, -4)));
     assertRoundTrip(
         new PeerMessage.StoppedTarget(
             new TargetStatus("i", 1, "s", "v", TargetPhase.GONE, 0, 0, false, 2)));
@@ -56,6 +58,7 @@
     assertRoundTrip(new PeerMessage.StateRequest(false, List.of()));
     assertRoundTrip(
         new PeerMessage.StateRequest(true, List.of(new PeerMessage.HeldRow("config", 7))));
+    assertRoundTrip(new PeerMessage.StateDeltas(List.of(), 9, List.of("evacuate/a")));
     assertRoundTrip(new PeerMessage.Nodes(List.of(NODE, NODE)));
     assertRoundTrip(
         new PeerMessage.Grants(
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -126,7 +126,18 @@
         new OperatorStateExchange(
             vertx, operatorState, this::receivesChangesFromStore, log, metrics, random, time);
     network =
-        new PeerNetwork(vertx, self, gateway, stateExchange, rollouts, log, metrics, random, time);
+        new PeerNetwork(
+            vertx,
+            self,
+            gateway,
+            stateExchange,
+            rollouts,
+            operatorState.evacuatedDomains()::contains,
+            log,
+            metrics,
+            random,
+            time);
+    operatorState.setEvacuationListener(this::applyEvacuations);
     operatorState.setChangeListener(network::announceRows);
     stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
@@ -167,7 +178,8 @@
             StoreArea.OPERATOR,
             this::maxChangesWait,
             network::setReadsStore,
-            rows -> operatorState.apply(rows, "store"),
+            operatorState::applyTable,
+            operatorState::applyChanges,
             log,
             metrics,
             random);
@@ -190,6 +202,11 @@
         vertx, address.host(), address.port(), limits, handler, new ListenerEvents(), time);
   }
 
+  private void applyEvacuations() {
+    gateway.setEvacuated(operatorState.evacuatedDomains().contains(settings.domain()));
+    network.updateEvacuatedTargets();
+  }
+
   private @Nullable Duration maxChangesWait() {
     return switch (network.readerRank()) {
       case 0 -> FIRST_READER_MAX_WAIT;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -132,7 +132,7 @@
   private void recordFullTargets() {
     long nowNanos = router.time.nanoTime();
     for (Candidate candidate : router.network.candidates(service)) {
-      if (candidate.status().acceptsCalls() && !triedNodes.contains(candidate.node())) {
+      if (candidate.acceptsCalls() && !triedNodes.contains(candidate.node())) {
         lastReason = Reason.FULL;
         int slots = Math.max(1, candidate.status().slots());
         double waitUs = candidate.pending(nowNanos) / slots * candidate.serviceUs();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ConnectedTargets.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/ConnectedTargets.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.peer.NodeRow;
 import org.acaciapond.mesh.target.Candidate;
@@ -22,12 +23,19 @@
 final class ConnectedTargets {
 
   private final TimeSource time;
+  private final Predicate<String> evacuated;
   private final Map<String, Candidate> candidates = new LinkedHashMap<>();
   private final Map<String, TargetStatus> stoppedTargets = new HashMap<>();
   private volatile Map<String, List<Candidate>> byService = Map.of();
 
-  ConnectedTargets(TimeSource time) {
+  /**
+   * Creates an empty set.
+   *
+   * @param evacuated whether a failure domain is evacuated
+   */
+  ConnectedTargets(TimeSource time, Predicate<String> evacuated) {
     this.time = time;
+    this.evacuated = evacuated;
   }
 
   List<Candidate> forService(String service) {
@@ -41,6 +49,7 @@
     final boolean changed = candidate == null || candidate.status().number() != status.number();
     if (candidate == null) {
       candidate = new Candidate(node, domain, status);
+      candidate.setEvacuated(evacuated.test(domain));
       candidates.put(node, candidate);
       rebuildIndex();
     } else {
@@ -63,6 +72,11 @@
     }
   }
 
+  /** Applies changed evacuation orders to all targets. */
+  void updateEvacuated() {
+    candidates.values().forEach(each -> each.setEvacuated(evacuated.test(each.domain())));
+  }
+
   /** Removes the target of a node that is no longer connected. */
   void remove(String node) {
     if (candidates.remove(node) != null) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.admission.CallRank;
@@ -62,13 +63,18 @@
   private boolean wantsNodes = true;
   private int receivedNodeLists;
 
-  /** Creates the network of a node. */
+  /**
+   * Creates the network of a node.
+   *
+   * @param evacuated whether a failure domain is evacuated
+   */
   public PeerNetwork(
       Vertx vertx,
       NodeRecord self,
       TargetGateway gateway,
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
+      Predicate<String> evacuated,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -89,7 +95,7 @@
         new InboundPeers(
             vertx, self, gateway, stateExchange, rolloutExchange, new LocalHandshake(), log, time);
     gateway.setStatusListener(this::onLocalStatusChanged);
-    targets = new ConnectedTargets(time);
+    targets = new ConnectedTargets(time, evacuated);
     targets.applyStatus(self.key(), self.domain(), gateway.status(), gateway.load());
   }
 
@@ -149,6 +155,11 @@
     return targets.forService(service);
   }
 
+  /** Applies changed evacuation orders to the connected targets. */
+  public void updateEvacuatedTargets() {
+    targets.updateEvacuated();
+  }
+
   /** Returns the number of known nodes, including this one. */
   public int knownNodeCount() {
     return links.size() + 1;
@@ -270,7 +281,11 @@
 
   private PeerMessage.Status localStatus() {
     return new PeerMessage.Status(
-        gateway.status(), gateway.load(), stateExchange.rowVersion(), readsStore);
+        gateway.status(),
+        gateway.load(),
+        stateExchange.rowVersion(),
+        readsStore,
+        stateExchange.summary());
   }
 
   private void onLocalStatusChanged(TargetStatus status) {
@@ -280,7 +295,12 @@
 
   private PeerMessage.Hello hello() {
     return new PeerMessage.Hello(
-        self, stateExchange.rowVersion(), wantsNodes, time.nanoTime() / 1_000_000, true);
+        self,
+        stateExchange.rowVersion(),
+        wantsNodes,
+        time.nanoTime() / 1_000_000,
+        true,
+        stateExchange.summary());
   }
 
   private void check() {
@@ -373,7 +393,7 @@
         } else {
           link.updateNode(hello.node());
         }
-        stateExchange.onPeerVersion(link.node().key(), hello.rowVersion());
+        stateExchange.onPeerState(link.node().key(), hello.state(), hello.rowVersion());
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::addOrUpdateNode);
         receivedNodeLists++;
@@ -406,7 +426,7 @@
             "node_leaving",
             status.nodeLeaving());
       }
-      stateExchange.onPeerVersion(link.node().key(), message.rowVersion());
+      stateExchange.onPeerState(link.node().key(), message.state(), message.rowVersion());
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -1,34 +1,33 @@
 package org.acaciapond.sidecar.state;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
-import org.acaciapond.mesh.peer.PeerMessage;
-import org.acaciapond.mesh.peer.RowHistory;
+import org.acaciapond.mesh.evacuation.EvacuatedDomains;
+import org.acaciapond.mesh.peer.OperatorRows;
 import org.acaciapond.mesh.platform.OperatorRow;
 import org.acaciapond.mesh.platform.PlatformCodec;
 import org.acaciapond.mesh.rollout.RolloutOrder;
 import org.acaciapond.mesh.route.DesiredState;
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
 /** Latest known rows of the operator, received from the store or from peers. */
 public final class OperatorState {
 
-  private static final long NO_VERSION = -1;
+  private static final String STORE = "store";
+  private static final String PEER = "peer";
 
   private final PlatformCodec codec;
   private final DesiredStateHolder holder;
   private final EventLog log;
   private final NodeMetrics metrics;
-  // Versions of all rows, also of removed ones.
-  private final Map<String, Long> rowVersions = new HashMap<>();
-  private final RowHistory history = new RowHistory();
-  private long version = NO_VERSION;
+  private final OperatorRows rows = new OperatorRows();
+  private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
   private Runnable changeListener = () -> {};
+  private Runnable evacuationListener = () -> {};
   private Consumer<RolloutOrder> orderListener = order -> {};
 
   /** Creates an empty state. */
@@ -45,30 +44,35 @@
     changeListener = listener;
   }
 
+  /** Sets the listener that is called after the evacuated failure domains have changed. */
+  public void setEvacuationListener(Runnable listener) {
+    evacuationListener = listener;
+  }
+
   /** Sets the listener for rollout orders. */
   public void setOrderListener(Consumer<RolloutOrder> listener) {
     orderListener = listener;
   }
 
-  /** Applies rows; a row that is not newer than the current one is ignored. */
-  public void apply(List<StoreRow> delivered, String source) {
-    boolean changed = false;
-    for (StoreRow row : delivered) {
-      if (row.version() > rowVersions.getOrDefault(row.key(), NO_VERSION)) {
-        rowVersions.put(row.key(), row.version());
-        if (row.removed()) {
-          // Removed rows are not sent to peers, so they must not raise the version that peers
-          // request.
-          history.remove(row.key());
-        } else {
-          version = Math.max(version, row.version());
-          history.record(new PeerMessage.StateRow(row.key(), row.version(), row.value()));
-        }
-        applyRow(row, source);
-        changed = true;
-      }
-    }
-    if (changed) {
+  /** Applies all rows of the table in the store. */
+  public void applyTable(StoreRows table) {
+    process(rows.applyTable(table.rows(), table.version()), STORE);
+  }
+
+  /** Applies changes of the table in the store. */
+  public void applyChanges(StoreRows changes) {
+    process(rows.applyChanges(changes.rows(), changes.version()), STORE);
+  }
+
+  /** Applies rows of a peer; see {@link OperatorRows#applyPeerRows}. */
+  public void applyPeerRows(
+      List<StoreRow> received, List<String> removed, long version, boolean complete) {
+    process(rows.applyPeerRows(received, removed, version, complete), PEER);
+  }
+
+  private void process(List<StoreRow> applied, String source) {
+    applied.forEach(row -> applyRow(row, source));
+    if (!applied.isEmpty()) {
       changeListener.run();
     }
   }
@@ -94,6 +98,8 @@
       }
     } else if (decoded instanceof OperatorRow.Order order) {
       orderListener.accept(order.order());
+    } else if (decoded instanceof OperatorRow.Evacuation evacuation) {
+      applyEvacuation(evacuation, row.version(), source);
     } else if (decoded instanceof OperatorRow.Unknown unknown) {
       log.event(
           "operator_row_ignored",
@@ -108,6 +114,22 @@
     }
   }
 
+  private void applyEvacuation(OperatorRow.Evacuation order, long rowVersion, String source) {
+    if (!evacuatedDomains.apply(order)) {
+      return;
+    }
+    log.event(
+        order.inForce() ? "domain_evacuated" : "domain_evacuation_ended",
+        "domain",
+        order.domain(),
+        "row_version",
+        rowVersion,
+        "source",
+        source);
+    metrics.setEvacuatedDomains(evacuatedDomains.size());
+    evacuationListener.run();
+  }
+
   private void reportUnknownKinds(DesiredState state) {
     List<String> routes = state.routesOfUnknownKind();
     metrics.setRoutesOfUnknownKind(routes.size());
@@ -138,13 +160,13 @@
     }
   }
 
-  /** Returns the highest version of the current rows, -1 if there are none. */
-  public long version() {
-    return version;
+  /** Returns the rows that are held. */
+  public OperatorRows rows() {
+    return rows;
   }
 
-  /** Returns the current rows, without removed ones, and their earlier values. */
-  public RowHistory history() {
-    return history;
+  /** Returns the failure domains that are evacuated. */
+  public EvacuatedDomains evacuatedDomains() {
+    return evacuatedDomains;
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
@@ -7,13 +7,17 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.mesh.peer.OperatorRows;
 import org.acaciapond.mesh.peer.PeerException;
 import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.peer.RowHistory;
 import org.acaciapond.mesh.peer.StateRequestScheduler;
+import org.acaciapond.mesh.peer.StateSummary;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.sidecar.peer.StateExchange;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /** Exchange of the operator's rows with peers: requests newer rows and responds to requests. */
 public final class OperatorStateExchange implements StateExchange {
@@ -31,6 +35,7 @@
   private final NodeMetrics metrics;
   private final TimeSource time;
   private final StateRequestScheduler scheduler;
+  private final OperatorRows rows;
   private BiConsumer<String, PeerMessage> requestSender = (peer, message) -> {};
   private boolean deltaRejected;
   // When this node fell behind its peers; meaningless while it is not behind.
@@ -52,6 +57,7 @@
       TimeSource time) {
     this.vertx = vertx;
     this.state = state;
+    this.rows = state.rows();
     this.receivesChangesFromStore = receivesChangesFromStore;
     this.log = log;
     this.metrics = metrics;
@@ -66,18 +72,30 @@
 
   @Override
   public long rowVersion() {
-    return state.version();
+    return rows.rowVersion();
+  }
+
+  @Override
+  public StateSummary summary() {
+    return rows.summary();
   }
 
   private PeerMessage.StateRequest request() {
-    return new PeerMessage.StateRequest(true, deltaRejected ? List.of() : state.history().held());
+    List<PeerMessage.HeldRow> held = rows.history().held();
+    return new PeerMessage.StateRequest(
+        true, deltaRejected ? held.stream().map(OperatorStateExchange::asWhole).toList() : held);
+  }
+
+  // Names the row, so that the response shows its removal, but none of its values.
+  private static PeerMessage.HeldRow asWhole(PeerMessage.HeldRow row) {
+    return new PeerMessage.HeldRow(row.key(), RowHistory.WHOLE);
   }
 
   @Override
   public PeerMessage response(PeerMessage.StateRequest request) {
     return request.acceptsDeltas()
-        ? new PeerMessage.StateDeltas(state.history().newerThan(request.held()))
-        : new PeerMessage.StateRows(state.history().current());
+        ? rows.changesFor(request.held())
+        : new PeerMessage.StateRows(rows.history().current());
   }
 
   @Override
@@ -86,12 +104,13 @@
   }
 
   @Override
-  public void onPeerVersion(String peer, long version) {
-    if (version <= state.version()) {
+  public void onPeerState(String peer, @Nullable StateSummary summary, long rowVersion) {
+    long announced = summary == null ? rowVersion : summary.completeTo();
+    if (summary == null ? announced <= rows.completeTo() : !rows.isBehind(summary)) {
       return;
     }
-    boolean wasBehind = scheduler.isBehind(state.version());
-    scheduler.announce(peer, version);
+    boolean wasBehind = scheduler.isBehind(rows.completeTo());
+    scheduler.announce(peer, announced);
     if (!wasBehind) {
       startWaiting();
       if (receivesChangesFromStore.getAsBoolean()) {
@@ -114,7 +133,7 @@
   @Override
   public void check() {
     long nowNanos = time.nanoTime();
-    if (scheduler.isBehind(state.version())
+    if (scheduler.isBehind(rows.completeTo())
         && nowNanos - behindSinceNanos >= storeReaderDelayMs() * 1_000_000L) {
       requestRows(nowNanos);
     }
@@ -124,11 +143,11 @@
     if (!receivesChangesFromStore.getAsBoolean()) {
       return 0;
     }
-    return state.version() < 0 ? STARTING_NODE_DELAY_MS : STORE_READER_DELAY_MS;
+    return rows.completeTo() < 0 ? STARTING_NODE_DELAY_MS : STORE_READER_DELAY_MS;
   }
 
   private void requestRows(long nowNanos) {
-    String peer = scheduler.nextPeer(state.version(), nowNanos);
+    String peer = scheduler.nextPeer(rows.completeTo(), nowNanos);
     if (peer != null) {
       requestCount++;
       requestSender.accept(peer, request());
@@ -136,37 +155,50 @@
   }
 
   @Override
-  public void accept(PeerMessage.StateRows rows) {
-    int bytes = rows.rows().stream().mapToInt(row -> row.value().length).sum();
-    apply(rows.rows(), bytes);
+  public void accept(PeerMessage.StateRows received) {
+    int bytes = received.rows().stream().mapToInt(row -> row.value().length).sum();
+    apply(received.rows(), List.of(), latestVersion(received.rows()), true, bytes);
   }
 
   @Override
   public void accept(PeerMessage.StateDeltas deltas) {
     deltaRejected = false;
-    List<PeerMessage.StateRow> rows = new ArrayList<>();
+    List<PeerMessage.StateRow> restored = new ArrayList<>();
     int bytes = 0;
     for (PeerMessage.RowDelta delta : deltas.rows()) {
       bytes += delta.delta().length;
       try {
-        rows.add(state.history().restore(delta));
+        restored.add(rows.history().restore(delta));
       } catch (PeerException e) {
         // The next request asks for whole rows.
         deltaRejected = true;
         log.event("state_delta_rejected", "key", delta.key(), "problem", e.getMessage());
       }
     }
-    apply(rows, bytes);
+    long version = deltas.completeTo() < 0 ? latestVersion(restored) : deltas.completeTo();
+    apply(restored, deltas.removed(), version, !deltaRejected, bytes);
+  }
+
+  // Peers of earlier releases do not tell up to which version they know all rows.
+  private static long latestVersion(List<PeerMessage.StateRow> received) {
+    return received.stream().mapToLong(PeerMessage.StateRow::rowVersion).max().orElse(-1);
   }
 
-  private void apply(List<PeerMessage.StateRow> rows, int bytes) {
-    logReceived(rows.size(), bytes);
-    state.apply(
-        rows.stream()
+  private void apply(
+      List<PeerMessage.StateRow> received,
+      List<String> removed,
+      long version,
+      boolean complete,
+      int bytes) {
+    logReceived(received.size(), bytes);
+    state.applyPeerRows(
+        received.stream()
             .map(row -> new StoreRow(row.key(), row.value(), row.rowVersion(), false))
             .toList(),
-        "peer");
-    scheduler.responseReceived(state.version(), time.nanoTime());
+        removed,
+        version,
+        complete);
+    scheduler.responseReceived(rows.completeTo(), time.nanoTime());
     check();
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import java.time.Duration;
-import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -10,7 +9,6 @@
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreErrorCode;
 import org.acaciapond.mesh.store.StoreException;
-import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
@@ -32,7 +30,8 @@
   private final StoreArea area;
   private final Supplier<@Nullable Duration> maxWait;
   private final Consumer<Boolean> onAvailable;
-  private final Consumer<List<StoreRow>> onRows;
+  private final Consumer<StoreRows> onTable;
+  private final Consumer<StoreRows> onChanges;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final DoubleSupplier random;
@@ -47,6 +46,8 @@
    * @param maxWait longest time that the store may hold the next request for changes, after which a
    *     connection that has stopped responding is noticed; null while other nodes read changes
    * @param onAvailable called with whether the store responds to this node, on each change
+   * @param onTable called with all rows of the area
+   * @param onChanges called with the changes that follow on the rows of the previous call
    */
   public StoreFeed(
       Vertx vertx,
@@ -54,7 +55,8 @@
       StoreArea area,
       Supplier<@Nullable Duration> maxWait,
       Consumer<Boolean> onAvailable,
-      Consumer<List<StoreRow>> onRows,
+      Consumer<StoreRows> onTable,
+      Consumer<StoreRows> onChanges,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random) {
@@ -63,7 +65,8 @@
     this.area = area;
     this.maxWait = maxWait;
     this.onAvailable = onAvailable;
-    this.onRows = onRows;
+    this.onTable = onTable;
+    this.onChanges = onChanges;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -84,7 +87,7 @@
       return;
     }
     if (version == NO_VERSION) {
-      store.read(area).subscribe().with(this::onResponse, this::onFailure);
+      store.read(area).subscribe().with(rows -> onResponse(rows, onTable), this::onFailure);
       return;
     }
     Duration changesWait = maxWait.get();
@@ -94,11 +97,11 @@
       store
           .awaitChanges(area, version, changesWait)
           .subscribe()
-          .with(this::onResponse, this::onFailure);
+          .with(rows -> onResponse(rows, onChanges), this::onFailure);
     }
   }
 
-  private void onResponse(StoreRows rows) {
+  private void onResponse(StoreRows rows, Consumer<StoreRows> receiver) {
     metrics.countStoreCall("ok");
     if (unavailable) {
       unavailable = false;
@@ -108,7 +111,7 @@
     backoffMs = MIN_BACKOFF_MS;
     version = Math.max(version, rows.version());
     if (!stopped) {
-      onRows.accept(rows.rows());
+      receiver.accept(rows);
       readNext();
     }
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -50,6 +50,7 @@
   private Consumer<TargetStatus> statusListener = status -> {};
   private boolean nodeLeaving;
   private boolean admissionStarted;
+  private boolean evacuated;
   private long statusNumber;
 
   /** One call that is queued for the target or runs in it. */
@@ -231,11 +232,22 @@
     applyStatusChange();
   }
 
+  /**
+   * Sets whether the failure domain of the target is evacuated. Calls that run in the target end as
+   * they began; queued and further ones are refused.
+   */
+  public void setEvacuated(boolean value) {
+    if (evacuated != value) {
+      evacuated = value;
+      applyStatusChange();
+    }
+  }
+
   private void applyStatusChange() {
     statusNumber++;
     CheckIn current = lifecycle.latest();
     boolean admitting =
-        admissionStarted && lifecycle.phase() == TargetPhase.READY && current != null;
+        admissionStarted && !evacuated && lifecycle.phase() == TargetPhase.READY && current != null;
     queue.setSlots(admitting && current != null ? current.slots() : 0);
     if (admitting) {
       applyReleased(queue.startQueued(time.nanoTime()));
@@ -343,7 +355,10 @@
 
   private @Nullable Reason refusalReason(MeshCall call) {
     CheckIn current = lifecycle.latest();
-    if (!admissionStarted || current == null || lifecycle.phase() != TargetPhase.READY) {
+    if (evacuated
+        || !admissionStarted
+        || current == null
+        || lifecycle.phase() != TargetPhase.READY) {
       return Reason.CLOSED;
     }
     return current.id().equals(call.targetId()) ? null : Reason.OTHER_TARGET;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -37,6 +37,7 @@
   private final Gauge exposureViolations;
   private final Gauge routesOfUnknownKind;
   private final Gauge skippedEntries;
+  private final Gauge evacuatedDomains;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -85,6 +86,9 @@
         registerGauge(
             "acaciapond_skipped_state_entries",
             "Entries of the desired state in force that were skipped as invalid.");
+    evacuatedDomains =
+        registerGauge(
+            "acaciapond_evacuated_domains", "Failure domains whose targets get no calls.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -190,6 +194,11 @@
     skippedEntries.set(count);
   }
 
+  /** Sets the number of evacuated failure domains. */
+  public void setEvacuatedDomains(int count) {
+    evacuatedDomains.set(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestDeployment.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestDeployment.java
@@ -28,9 +28,13 @@
     store.start().await().atMost(WAIT);
   }
 
-  /** Starts a machine whose target has the id "i-" and the key. */
+  /** Starts a machine of the failure domain "z" whose target has the id "i-" and the key. */
   public TestMachine startMachine(String key, String service) {
-    TestMachine machine = new TestMachine(key, service, "i-" + key, store);
+    return startMachine(key, "z", service);
+  }
+
+  TestMachine startMachine(String key, String domain, String service) {
+    TestMachine machine = new TestMachine(key, domain, service, "i-" + key, store);
     machines.add(machine);
     return machine;
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestMachine.java
@@ -17,18 +17,37 @@
 
   /** Starts a target and its node. */
   public TestMachine(String key, String service, String targetId, StandInStore store) {
-    this(key, service, targetId, store, Vertx.vertx());
+    this(key, "z", service, targetId, store);
+  }
+
+  TestMachine(String key, String domain, String service, String targetId, StandInStore store) {
+    this(key, domain, service, targetId, store, Vertx.vertx());
   }
 
   private TestMachine(
-      String key, String service, String targetId, StandInStore store, Vertx targetVertx) {
-    this(key, service, startTarget(targetVertx, targetId, service), store, targetVertx);
+      String key,
+      String domain,
+      String service,
+      String targetId,
+      StandInStore store,
+      Vertx targetVertx) {
+    this(key, domain, service, startTarget(targetVertx, targetId, service), store, targetVertx);
   }
 
   /** Starts the node of a target that is started already. */
   public TestMachine(
       String key, String service, StandInTarget target, StandInStore store, Vertx targetVertx) {
-    super(key, service, target.port(), store.port());
+    this(key, "z", service, target, store, targetVertx);
+  }
+
+  private TestMachine(
+      String key,
+      String domain,
+      String service,
+      StandInTarget target,
+      StandInStore store,
+      Vertx targetVertx) {
+    super(key, domain, service, target.port(), store.port());
     this.target = target;
     this.targetVertx = targetVertx;
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
@@ -31,12 +31,16 @@
   private Vertx nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private SidecarProcess process;
 
-  /** Starts a node. */
+  /** Starts a node of the failure domain "z". */
   public TestNode(String key, String service, int targetPort, int storePort) {
+    this(key, "z", service, targetPort, storePort);
+  }
+
+  TestNode(String key, String domain, String service, int targetPort, int storePort) {
     settings =
         new SidecarSettings(
             key,
-            "z",
+            domain,
             service,
             freeAddress(),
             freeAddress(),
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/InboundPeersTest.java
@@ -51,7 +51,7 @@
 
   private static PeerMessage.Hello hello(int clockBehindMs) {
     NodeRecord self = new NodeRecord("caller", TestMachine.HOST, 1, "z", "other", 1);
-    return new PeerMessage.Hello(self, -1, false, nowMs() - clockBehindMs, false);
+    return new PeerMessage.Hello(self, -1, false, nowMs() - clockBehindMs, false, null);
   }
 
   private static long nowMs() {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -106,7 +106,7 @@
   private static PeerMessage.Status status() {
     TargetStatus status =
         new TargetStatus("i-n1", 1, "orders", "v1", TargetPhase.READY, 4, 0, false, 1);
-    return new PeerMessage.Status(status, TargetLoad.NONE, 1, true);
+    return new PeerMessage.Status(status, TargetLoad.NONE, 1, true, null);
   }
 
   private static MeshCall call(List<String> headers, byte[] body) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
@@ -134,13 +134,13 @@
     NodeRecord self = new NodeRecord("n2", TestMachine.HOST, port, "z", "orders", 1);
     TestPeer introduction = new TestPeer(deployment.vertx);
     introduction.connect(machine.settings.peer().port());
-    introduction.send(new PeerMessage.Hello(self, -1, false, 0, false));
+    introduction.send(new PeerMessage.Hello(self, -1, false, 0, false, null));
 
-    peer.send(new PeerMessage.Hello(self, 1_000, false, 0, false));
+    peer.send(new PeerMessage.Hello(self, 1_000, false, 0, false, null));
     assertNotNull(peer.await(PeerMessage.StateRequest.class, WAIT_MS));
     TargetStatus status =
         new TargetStatus("", 0, "orders", "", TargetPhase.UNKNOWN, 0, 0, false, 1);
-    peer.send(new PeerMessage.Status(status, TargetLoad.NONE, 1_001, true));
+    peer.send(new PeerMessage.Status(status, TargetLoad.NONE, 1_001, true, null));
     // The announcement is handled before the response to the first request.
     Thread.sleep(200);
     peer.send(new PeerMessage.StateRows(List.of(row(1_000, 5))));
