--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -42,13 +42,16 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true, true));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true, true, null));
+    assertRoundTrip(
+        new PeerMessage.Hello(NODE, 7, true, 12, true, false, true, new StateSummary(9, -4)));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
             new TargetLoad(1, 2, 2, 3, 4),
             8,
-            true));
+            true,
+            new StateSummary(9, -4)));
     assertRoundTrip(
         new PeerMessage.StoppedTarget(
             new TargetStatus("i", 1, "s", "v", TargetPhase.GONE, 0, 0, false, 2)));
@@ -59,6 +62,7 @@
     assertRoundTrip(new PeerMessage.StateRequest(false, List.of()));
     assertRoundTrip(
         new PeerMessage.StateRequest(true, List.of(new PeerMessage.HeldRow("config", 7))));
+    assertRoundTrip(new PeerMessage.StateDeltas(List.of(), 9, List.of("evacuate/a")));
     assertRoundTrip(new PeerMessage.Nodes(List.of(NODE, NODE)));
     assertRoundTrip(
         new PeerMessage.Grants(
@@ -73,7 +77,7 @@
   // Guards against a node of an earlier release that is sent a message that it cannot read.
   @Test
   void messagesOfSharedLimitsAreDecodedAsEncoded() {
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true, true));
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true, true, null));
     List<Portion> portions = List.of(new Portion(2_000_000, 7), new Portion(1, 0));
     assertRoundTrip(new PeerMessage.Limit(new LimitMessage.Ask(-5, "acme", 2, 1, 300)));
     assertRoundTrip(new PeerMessage.Limit(new LimitMessage.Grant(9, "acme", portions, 40, 3)));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -169,10 +169,12 @@
             stateExchange,
             rollouts,
             new LimitMessages(accountLimits, sharedRetries),
+            operatorState.evacuatedDomains()::contains,
             log,
             metrics,
             random,
             time);
+    operatorState.setEvacuationListener(this::applyEvacuations);
     operatorState.setChangeListener(network::announceRows);
     stateExchange.setRequestSender(network::send);
     operatorState.setOrderListener(rollouts::applyOrder);
@@ -212,7 +214,8 @@
             StoreArea.OPERATOR,
             this::maxChangesWait,
             network::setReadsStore,
-            rows -> operatorState.apply(rows, "store"),
+            operatorState::applyTable,
+            operatorState::applyChanges,
             log,
             metrics,
             random);
@@ -251,6 +254,11 @@
         vertx, address.host(), address.port(), limits, handler, new ListenerEvents(), time);
   }
 
+  private void applyEvacuations() {
+    gateway.setEvacuated(operatorState.evacuatedDomains().contains(settings.domain()));
+    network.updateEvacuatedTargets();
+  }
+
   private @Nullable Duration maxChangesWait() {
     return switch (network.readerRank()) {
       case 0 -> FIRST_READER_MAX_WAIT;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.admission.CallRank;
@@ -66,7 +67,11 @@
   private boolean wantsNodes = true;
   private int receivedNodeLists;
 
-  /** Creates the network of a node. */
+  /**
+   * Creates the network of a node.
+   *
+   * @param evacuated whether a failure domain is evacuated
+   */
   public PeerNetwork(
       Vertx vertx,
       NodeRecord self,
@@ -74,6 +79,7 @@
       StateExchange stateExchange,
       RolloutExchange rolloutExchange,
       LimitExchange limitExchange,
+      Predicate<String> evacuated,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -103,7 +109,7 @@
             log,
             time);
     gateway.setStatusListener(this::onLocalStatusChanged);
-    targets = new ConnectedTargets(time);
+    targets = new ConnectedTargets(time, evacuated);
     targets.applyStatus(self.key(), self.domain(), gateway.status(), gateway.load());
   }
 
@@ -163,6 +169,11 @@
     return targets.forService(service);
   }
 
+  /** Applies changed evacuation orders to the connected targets. */
+  public void updateEvacuatedTargets() {
+    targets.updateEvacuated();
+  }
+
   /** Returns the number of known nodes, including this one. */
   public int knownNodeCount() {
     return links.size() + 1;
@@ -305,7 +316,11 @@
 
   private PeerMessage.Status localStatus() {
     return new PeerMessage.Status(
-        gateway.status(), gateway.load(), stateExchange.rowVersion(), readsStore);
+        gateway.status(),
+        gateway.load(),
+        stateExchange.rowVersion(),
+        readsStore,
+        stateExchange.summary());
   }
 
   private void onLocalStatusChanged(TargetStatus status) {
@@ -321,7 +336,8 @@
         time.nanoTime() / 1_000_000,
         true,
         true,
-        true);
+        true,
+        stateExchange.summary());
   }
 
   private void check() {
@@ -448,7 +464,7 @@
           link.updateNode(hello.node());
         }
         link.setSharesLimits(hello.sharesLimits());
-        stateExchange.onPeerVersion(link.node().key(), hello.rowVersion());
+        stateExchange.onPeerState(link.node().key(), hello.state(), hello.rowVersion());
       } else if (message instanceof PeerMessage.Nodes nodes) {
         nodes.nodes().forEach(PeerNetwork.this::addOrUpdateNode);
         receivedNodeLists++;
@@ -483,7 +499,7 @@
             "node_leaving",
             status.nodeLeaving());
       }
-      stateExchange.onPeerVersion(link.node().key(), message.rowVersion());
+      stateExchange.onPeerState(link.node().key(), message.state(), message.rowVersion());
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -68,6 +68,7 @@
   private Consumer<TargetStatus> statusListener = status -> {};
   private boolean nodeLeaving;
   private boolean admissionStarted;
+  private boolean evacuated;
   private long statusNumber;
   private int announcedCalls;
   private PaceState loggedPaceState = PaceState.OPEN;
@@ -301,6 +302,17 @@
     applyStatusChange();
   }
 
+  /**
+   * Sets whether the failure domain of the target is evacuated. Calls that run in the target end as
+   * they began; queued and further ones are refused.
+   */
+  public void setEvacuated(boolean value) {
+    if (evacuated != value) {
+      evacuated = value;
+      applyStatusChange();
+    }
+  }
+
   private void applyStatusChange() {
     applySlots();
     if (isAdmitting()) {
@@ -312,7 +324,7 @@
   }
 
   private boolean isAdmitting() {
-    return admissionStarted && lifecycle.phase() == TargetPhase.READY;
+    return admissionStarted && !evacuated && lifecycle.phase() == TargetPhase.READY;
   }
 
   private void applySlots() {
@@ -529,7 +541,10 @@
 
   private @Nullable Reason refusalReason(MeshCall call) {
     CheckIn current = lifecycle.latest();
-    if (!admissionStarted || current == null || lifecycle.phase() != TargetPhase.READY) {
+    if (evacuated
+        || !admissionStarted
+        || current == null
+        || lifecycle.phase() != TargetPhase.READY) {
       return Reason.CLOSED;
     }
     return current.id().equals(call.targetId()) ? null : Reason.OTHER_TARGET;
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -42,6 +42,7 @@
   private final Counter limitMessages;
   private final Gauge targetLimit;
   private final Counter overdueCalls;
+  private final Gauge evacuatedDomains;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -106,6 +107,9 @@
         registerCounter(
             "acaciapond_target_overdue_calls_total",
             "Calls that ran in the target far longer than such calls usually take.");
+    evacuatedDomains =
+        registerGauge(
+            "acaciapond_evacuated_domains", "Failure domains whose targets get no calls.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -231,6 +235,11 @@
     overdueCalls.inc(count);
   }
 
+  /** Sets the number of evacuated failure domains. */
+  public void setEvacuatedDomains(int count) {
+    evacuatedDomains.set(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -112,7 +112,7 @@
   private static PeerMessage.Status status() {
     TargetStatus status =
         new TargetStatus("i-n1", 1, "orders", "v1", TargetPhase.READY, 4, 0, false, 1);
-    return new PeerMessage.Status(status, TargetLoad.NONE, 1, true);
+    return new PeerMessage.Status(status, TargetLoad.NONE, 1, true, null);
   }
 
   private static MeshCall call(List<String> headers, byte[] body) {
@@ -139,7 +139,7 @@
 
   private void acceptOffers() throws Exception {
     NodeRecord self = new NodeRecord("n1", "127.0.0.1", server.getLocalPort(), "z", "orders", 1);
-    write(new PeerMessage.Hello(self, -1, false, 0, true, true, true));
+    write(new PeerMessage.Hello(self, -1, false, 0, true, true, true, null));
     assertNotNull(received.poll(WAIT_MS, TimeUnit.MILLISECONDS));
   }
 
