Test the steps on which the sum of shared limits rests

Trials with single faults in the code (ages lost on the way, replies accepted twice, a stock kept after a suspension or a lowered limit) passed the tests of whole fleets, because the bound is rarely reached there.

--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RetryTransfersTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/retry/RetryTransfersTest.java
@@ -1,5 +1,7 @@
 package org.acaciapond.mesh.retry;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -8,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.acaciapond.mesh.limit.LimitMessage;
+import org.acaciapond.mesh.limit.Portion;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -111,4 +114,23 @@
     int equalPart = (int) (0.45 * RATIO * 4_000 / NODES) + 2;
     assertTrue(retriesMs.size() > 3 * equalPart, retriesMs.size() + " of " + equalPart);
   }
+
+  // Guards against a repeated message whose retries are used twice, and against late ones.
+  @Test
+  void replyIsAcceptedOnceAndInTime() {
+    List<LimitMessage> asked = new ArrayList<>();
+    RetryBudget budget = new RetryBudget(RATIO, 0, WINDOW_MS);
+    RetryTransfers node =
+        new RetryTransfers(budget, (to, message) -> asked.add(message), () -> "1", 7);
+    assertFalse(node.tryRetry("s", NODES, 0));
+    LimitMessage.Pull pull = (LimitMessage.Pull) asked.get(0);
+    List<Portion> one = List.of(new Portion(1_000_000, 0));
+    LimitMessage reply =
+        new LimitMessage.Surpluses(
+            pull.number(), List.of(new LimitMessage.Surplus(pull.limits().get(0), one)));
+    node.receive("1", reply, NODES, 900 * MS);
+    node.receive("1", reply, NODES, 900 * MS);
+    assertEquals(1, budget.available("s", NODES, 900 * MS));
+    assertEquals(0, budget.available("s", NODES, 1_000 * MS));
+  }
 }
