Throttle requests by refusals only

The throttle counted every request that it let pass as refused until it was admitted. Requests that failed for other reasons, for example while a node started, made it refuse later ones (StopSignalTest and SidecarProcessTest failed with 503). It now counts requests that targets refused as full.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -96,7 +96,7 @@
       return OptionalInt.empty();
     }
     double serviceUs = serviceTimes.expectedUs(callClass.route());
-    return refusal(
+    return refusalOf(
         new QueuedCall<>(null, callClass, nextArrivalNumber, serviceUs), routeLimited, nowNanos);
   }
 
@@ -109,7 +109,7 @@
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
-    OptionalInt refusal = refusal(queued, routeLimited, nowNanos);
+    OptionalInt refusal = refusalOf(queued, routeLimited, nowNanos);
     if (refusal.isPresent()) {
       return new AdmissionResult<>(AdmissionResult.Decision.REFUSE, refusal.getAsInt(), List.of());
     }
@@ -119,7 +119,7 @@
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
   }
 
-  private OptionalInt refusal(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
+  private OptionalInt refusalOf(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
     double waitUs = estimatedWaitUs(queue.headSet(call));
     if (routeLimited) {
       waitUs = Math.max(waitUs, routeWaitUs(call, nowNanos));
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/RefusalThrottle.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/RefusalThrottle.java
@@ -10,14 +10,14 @@
  */
 public final class RefusalThrottle {
 
-  private static final double MAX_REQUESTS_PER_ADMITTED = 2;
-  // Requests that are sent in any case, so that the node learns that there is room again.
-  private static final double FREE_REQUESTS = 5;
+  private static final double MAX_REFUSED_PER_ADMITTED = 1;
+  // Refusals that do not count, so that requests are still sent when none is admitted.
+  private static final double FREE_REFUSALS = 5;
   private static final double HALF_LIFE_NANOS = 1e9;
   private static final double WAIT_SMOOTHING_FACTOR = 0.2;
 
   private final DoubleSupplier random;
-  private double sent;
+  private double refused;
   private double admitted;
   private double waitMs;
   private long updatedNanos;
@@ -38,24 +38,21 @@
   }
 
   /**
-   * Records that a target refused a request.
+   * Records that targets refused a request because they were full.
    *
-   * @param retryAfterMs time after which it has room
+   * @param retryAfterMs time after which one of them has room
    */
-  public void recordRefused(int retryAfterMs) {
+  public void recordRefused(int retryAfterMs, long nowNanos) {
+    decay(nowNanos);
+    refused++;
     waitMs += WAIT_SMOOTHING_FACTOR * (retryAfterMs - waitMs);
   }
 
-  /**
-   * Returns whether a request may be sent. Only the sent ones count, so that the throttle ends soon
-   * after the refusals.
-   */
+  /** Returns whether a request may be sent. */
   public boolean allows(long nowNanos) {
     decay(nowNanos);
-    double excess = sent - MAX_REQUESTS_PER_ADMITTED * admitted - FREE_REQUESTS;
-    boolean allowed = excess <= 0 || random.getAsDouble() >= excess / (sent + 1);
-    sent += allowed ? 1 : 0;
-    return allowed;
+    double excess = refused - MAX_REFUSED_PER_ADMITTED * admitted - FREE_REFUSALS;
+    return excess <= 0 || random.getAsDouble() >= excess / (refused + admitted + 1);
   }
 
   /** Returns the mean time after which targets that refused calls have room. */
@@ -65,7 +62,7 @@
 
   private void decay(long nowNanos) {
     double factor = Math.pow(0.5, (nowNanos - updatedNanos) / HALF_LIFE_NANOS);
-    sent *= factor;
+    refused *= factor;
     admitted *= factor;
     updatedNanos = nowNanos;
   }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/RefusalThrottleTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/RefusalThrottleTest.java
@@ -26,7 +26,7 @@
       if (random.nextDouble() < admittedShare) {
         throttle.recordAdmitted(nowMs * MS);
       } else {
-        throttle.recordRefused(80);
+        throttle.recordRefused(80, nowMs * MS);
       }
     }
     return sent;
@@ -47,6 +47,14 @@
     assertTrue(throttle.waitMs() > 70);
   }
 
+  /** Guards against refusals because requests failed for other reasons than a lack of room. */
+  @Test
+  void requestsWithoutOutcomeDoNotCount() {
+    for (int i = 0; i < 100; i++) {
+      assertTrue(throttle.allows(i * MS));
+    }
+  }
+
   /** Guards against refusals after the load has ended. */
   @Test
   void callsPassAgainWhenThereIsRoom() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -311,8 +311,6 @@
     }
     if (response.outcome() != Outcome.REFUSED) {
       room.throttle(rank).recordAdmitted(nowNanos);
-    } else if (response.reason() == Reason.FULL) {
-      room.throttle(rank).recordRefused(response.retryAfterMs());
     }
   }
 
@@ -455,6 +453,9 @@
       finishWith(failed);
       return;
     }
+    if (lastReason == Reason.FULL && refusals > 0 && retryAfterMs != Integer.MAX_VALUE) {
+      room.throttle(rank).recordRefused(retryAfterMs, router.time.nanoTime());
+    }
     recordNestedCall(lastReason == Reason.FULL);
     recordNestedFailure();
     if (mayHaveRun) {
