--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -104,7 +104,7 @@
       return OptionalInt.empty();
     }
     double serviceUs = serviceTimes.expectedUs(callClass.route());
-    return refusal(
+    return refusalOf(
         new QueuedCall<>(null, callClass, nextArrivalNumber, serviceUs), routeLimited, nowNanos);
   }
 
@@ -117,7 +117,7 @@
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
-    OptionalInt refusal = refusal(queued, routeLimited, nowNanos);
+    OptionalInt refusal = refusalOf(queued, routeLimited, nowNanos);
     if (refusal.isPresent()) {
       return new AdmissionResult<>(AdmissionResult.Decision.REFUSE, refusal.getAsInt(), List.of());
     }
@@ -127,7 +127,7 @@
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
   }
 
-  private OptionalInt refusal(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
+  private OptionalInt refusalOf(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
     SortedSet<QueuedCall<T>> ahead = queue.headSet(call);
     double waitUs = Math.max(estimatedWaitUs(ahead), startPace.delayUs(ahead.size(), nowNanos));
     if (routeLimited) {
