--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/OperatorRows.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/OperatorRows.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.store.StoreVersion;
 
 /**
  * Operator rows that a node holds, with the version of the store up to which it knows all of them.
@@ -14,14 +16,13 @@
  */
 public final class OperatorRows {
 
-  private static final long NO_VERSION = -1;
   private static final byte[] EMPTY = {};
   // Multipliers of the finalizer of MurmurHash3.
   private static final long MIX_1 = 0xff51afd7ed558ccdL;
   private static final long MIX_2 = 0xc4ceb9fe1a85ec53L;
 
   private final RowHistory history = new RowHistory();
-  private long completeTo = NO_VERSION;
+  private StoreVersion completeTo = StoreVersion.NONE;
   private long digest;
 
   /**
@@ -30,7 +31,7 @@
    * @param version version of the store at which rows that are not in the table were absent
    * @return the rows that took effect; a row that is absent from the table as a removed one
    */
-  public List<StoreRow> applyTable(List<StoreRow> table, long version) {
+  public List<StoreRow> applyTable(List<StoreRow> table, StoreVersion version) {
     Set<String> absent = new HashSet<>(history.keys());
     table.forEach(row -> absent.remove(row.key()));
     return apply(table, absent, version, true);
@@ -42,7 +43,7 @@
    * @param version version of the store that the changes lead to
    * @return the rows that took effect
    */
-  public List<StoreRow> applyChanges(List<StoreRow> changes, long version) {
+  public List<StoreRow> applyChanges(List<StoreRow> changes, StoreVersion version) {
     return apply(changes, List.of(), version, true);
   }
 
@@ -56,13 +57,13 @@
    * @return the rows that took effect
    */
   public List<StoreRow> applyPeerRows(
-      List<StoreRow> rows, List<String> removed, long version, boolean complete) {
+      List<StoreRow> rows, List<String> removed, StoreVersion version, boolean complete) {
     return apply(rows, removed, version, complete);
   }
 
   private List<StoreRow> apply(
-      List<StoreRow> rows, Collection<String> absent, long version, boolean complete) {
-    final long knownTo = completeTo;
+      List<StoreRow> rows, Collection<String> absent, StoreVersion version, boolean complete) {
+    final StoreVersion knownTo = completeTo;
     List<StoreRow> applied = new ArrayList<>();
     for (StoreRow row : rows) {
       if (isNewer(row, knownTo)) {
@@ -71,14 +72,14 @@
       }
     }
     for (String key : absent) {
-      long held = history.versionOf(key);
-      if (held != NO_VERSION && held <= version) {
+      StoreVersion held = history.versionOf(key);
+      if (!held.equals(StoreVersion.NONE) && !held.isAfter(version)) {
         history.remove(key);
         applied.add(new StoreRow(key, EMPTY, version, true));
       }
     }
     if (complete) {
-      completeTo = Math.max(completeTo, version);
+      completeTo = StoreVersion.max(completeTo, version);
     }
     if (!applied.isEmpty()) {
       digest = computeDigest();
@@ -86,9 +87,11 @@
     return applied;
   }
 
-  private boolean isNewer(StoreRow row, long knownTo) {
-    long held = history.versionOf(row.key());
-    return held == NO_VERSION ? !row.removed() && row.version() > knownTo : row.version() > held;
+  private boolean isNewer(StoreRow row, StoreVersion knownTo) {
+    StoreVersion held = history.versionOf(row.key());
+    return held.equals(StoreVersion.NONE)
+        ? !row.removed() && row.version().isAfter(knownTo)
+        : row.version().isAfter(held);
   }
 
   private void store(StoreRow row) {
@@ -102,7 +105,7 @@
   private long computeDigest() {
     long sum = 0;
     for (PeerMessage.HeldRow row : history.held()) {
-      sum += mix(mix(row.key().hashCode()) ^ row.rowVersion());
+      sum += mix(mix(row.key().hashCode()) ^ row.rowVersion().toNumber());
     }
     return sum;
   }
@@ -121,38 +124,46 @@
    */
   public boolean isBehind(StateSummary peer) {
     if (peer.digest() == digest) {
-      completeTo = Math.max(completeTo, peer.completeTo());
+      completeTo = StoreVersion.max(completeTo, peer.completeTo());
     }
-    return peer.completeTo() > completeTo;
+    return peer.completeTo().isAfter(completeTo);
   }
 
   /** Returns the response to the request of a peer. */
-  public PeerMessage.StateDeltas changesFor(List<PeerMessage.HeldRow> held) {
+  public PeerMessage.StateDeltas changesFor(List<PeerMessage.HeldRow> request) {
+    List<PeerMessage.HeldRow> held = request.stream().map(this::inOwnEra).toList();
     List<String> removed = new ArrayList<>();
     for (PeerMessage.HeldRow row : held) {
-      if (history.versionOf(row.key()) == NO_VERSION && row.rowVersion() <= completeTo) {
+      if (history.versionOf(row.key()).equals(StoreVersion.NONE)
+          && !row.rowVersion().isAfter(completeTo)) {
         removed.add(row.key());
       }
     }
     return new PeerMessage.StateDeltas(history.newerThan(held), completeTo, removed);
   }
 
+  // A node of an earlier release that holds rows has most likely read them in the present era.
+  private PeerMessage.HeldRow inOwnEra(PeerMessage.HeldRow row) {
+    return new PeerMessage.HeldRow(row.key(), row.rowVersion().inEraIfUnknown(completeTo.era()));
+  }
+
   /** Returns the summary for peers. */
   public StateSummary summary() {
     return new StateSummary(completeTo, digest);
   }
 
-  /** Returns the version of the store up to which all rows are known, -1 for none. */
-  public long completeTo() {
+  /** Returns the version of the store up to which all rows are known. */
+  public StoreVersion completeTo() {
     return completeTo;
   }
 
-  /** Returns the highest version of the rows, -1 if there are none. */
+  /** Returns the latest version of the rows for nodes that do not know eras, -1 for none. */
   public long rowVersion() {
     return history.held().stream()
-        .mapToLong(PeerMessage.HeldRow::rowVersion)
-        .max()
-        .orElse(NO_VERSION);
+        .map(PeerMessage.HeldRow::rowVersion)
+        .max(Comparator.naturalOrder())
+        .orElse(StoreVersion.NONE)
+        .version();
   }
 
   /** Returns the rows and their earlier values. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.rollout.ShareGrant;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetStatus;
 import org.acaciapond.rollout.evidence.RouteCounts;
@@ -98,11 +99,11 @@
    * Operator rows that are newer than those that the receiver holds.
    *
    * @param rows the rows
-   * @param completeTo version of the store up to which the sender knows all rows, -1 if it is of an
-   *     earlier release
+   * @param completeTo version of the store up to which the sender knows all rows; null if it is of
+   *     an earlier release
    * @param removed keys that the receiver holds and that are removed as of that version
    */
-  record StateDeltas(List<RowDelta> rows, long completeTo, List<String> removed)
+  record StateDeltas(List<RowDelta> rows, @Nullable StoreVersion completeTo, List<String> removed)
       implements PeerMessage {}
 
   /**
@@ -144,16 +145,16 @@
       implements PeerMessage {}
 
   /** Key and version of an operator row that a node holds. */
-  record HeldRow(String key, long rowVersion) {}
+  record HeldRow(String key, StoreVersion rowVersion) {}
 
   /**
    * Operator row as the difference from an earlier version.
    *
-   * @param baseVersion earlier version, 0 for the whole row
+   * @param baseVersion earlier version, {@link StoreVersion#ABSENT} for the whole row
    * @param delta difference in the form of {@link StateDelta}
    */
-  record RowDelta(String key, long rowVersion, long baseVersion, byte[] delta) {}
+  record RowDelta(String key, StoreVersion rowVersion, StoreVersion baseVersion, byte[] delta) {}
 
   /** Operator row. */
-  record StateRow(String key, long rowVersion, byte[] value) {}
+  record StateRow(String key, StoreVersion rowVersion, byte[] value) {}
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/RowHistory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,9 +20,8 @@
 public final class RowHistory {
 
   /** Version of a row that is requested as a whole. */
-  public static final long WHOLE = 0;
+  public static final StoreVersion WHOLE = StoreVersion.ABSENT;
 
-  private static final long NO_VERSION = -1;
   private static final byte[] EMPTY = {};
   // A node that is further behind receives the whole row.
   private static final int MAX_VALUES_PER_ROW = 8;
@@ -32,15 +32,15 @@
   /** Values of one row, the current one first, and the deltas from earlier ones to it. */
   private static final class Values {
     final Deque<PeerMessage.StateRow> latestFirst = new ArrayDeque<>();
-    final Map<Long, byte[]> deltas = new HashMap<>();
+    final Map<StoreVersion, byte[]> deltas = new HashMap<>();
 
     PeerMessage.StateRow current() {
       return latestFirst.getFirst();
     }
 
-    byte @Nullable [] find(long rowVersion) {
+    byte @Nullable [] find(StoreVersion rowVersion) {
       for (PeerMessage.StateRow value : latestFirst) {
-        if (value.rowVersion() == rowVersion) {
+        if (value.rowVersion().equals(rowVersion)) {
           return value.value();
         }
       }
@@ -78,10 +78,10 @@
     return Set.copyOf(rows.keySet());
   }
 
-  /** Returns the version of a row, -1 if there is none. */
-  public long versionOf(String key) {
+  /** Returns the version of a row, {@link StoreVersion#NONE} if there is none. */
+  public StoreVersion versionOf(String key) {
     Values values = rows.get(key);
-    return values == null ? NO_VERSION : values.current().rowVersion();
+    return values == null ? StoreVersion.NONE : values.current().rowVersion();
   }
 
   /** Returns the current rows. */
@@ -99,23 +99,23 @@
 
   /** Returns the rows that are newer than those that another node holds. */
   public List<PeerMessage.RowDelta> newerThan(Collection<PeerMessage.HeldRow> held) {
-    Map<String, Long> heldVersions = new HashMap<>();
+    Map<String, StoreVersion> heldVersions = new HashMap<>();
     held.forEach(row -> heldVersions.put(row.key(), row.rowVersion()));
     List<PeerMessage.RowDelta> newer = new ArrayList<>();
     for (Values values : rows.values()) {
       PeerMessage.StateRow current = values.current();
-      long heldVersion = heldVersions.getOrDefault(current.key(), WHOLE);
-      if (current.rowVersion() > heldVersion) {
+      StoreVersion heldVersion = heldVersions.getOrDefault(current.key(), WHOLE);
+      if (current.rowVersion().isAfter(heldVersion)) {
         newer.add(delta(values, heldVersion));
       }
     }
     return newer;
   }
 
-  private static PeerMessage.RowDelta delta(Values values, long heldVersion) {
+  private static PeerMessage.RowDelta delta(Values values, StoreVersion heldVersion) {
     PeerMessage.StateRow current = values.current();
     byte[] base = values.find(heldVersion);
-    long baseVersion = base == null ? WHOLE : heldVersion;
+    StoreVersion baseVersion = base == null ? WHOLE : heldVersion;
     byte[] delta =
         values.deltas.computeIfAbsent(
             baseVersion, key -> StateDelta.encode(base == null ? EMPTY : base, current.value()));
@@ -128,7 +128,8 @@
    * @throws PeerException if the earlier value is not known or the difference is malformed
    */
   public PeerMessage.StateRow restore(PeerMessage.RowDelta row) {
-    byte[] base = row.baseVersion() == WHOLE ? EMPTY : find(row.key(), row.baseVersion());
+    byte[] base =
+        row.baseVersion().version() == WHOLE.version() ? EMPTY : find(row.key(), row.baseVersion());
     if (base == null) {
       throw new PeerException(
           PeerErrorCode.MALFORMED_MESSAGE,
@@ -139,7 +140,7 @@
     return new PeerMessage.StateRow(row.key(), row.rowVersion(), value);
   }
 
-  private byte @Nullable [] find(String key, long rowVersion) {
+  private byte @Nullable [] find(String key, StoreVersion rowVersion) {
     Values values = rows.get(key);
     return values == null ? null : values.find(rowVersion);
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/peer/StateRequestScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,7 +23,7 @@
   private static final long MAX_TIMEOUT_NANOS = 2_400_000_000L;
 
   private final DoubleSupplier random;
-  private final Map<String, Long> announced = new LinkedHashMap<>();
+  private final Map<String, StoreVersion> announced = new LinkedHashMap<>();
   // Peers that did not respond in time, or whose response lacked what they had announced.
   private final Set<String> failed = new HashSet<>();
   private @Nullable String asked;
@@ -40,8 +41,8 @@
   }
 
   /** Records the version that a connected peer has announced. */
-  public void announce(String peer, long version) {
-    announced.merge(peer, version, Math::max);
+  public void announce(String peer, StoreVersion version) {
+    announced.merge(peer, version, StoreVersion::max);
   }
 
   /** Forgets a peer that is no longer connected. */
@@ -59,16 +60,16 @@
    * @param knownVersion highest row version at this node, including these rows
    * @param nowNanos monotonic time
    */
-  public void responseReceived(long knownVersion, long nowNanos) {
+  public void responseReceived(StoreVersion knownVersion, long nowNanos) {
     String responder = asked;
     asked = null;
-    long expectedVersion =
+    StoreVersion expectedVersion =
         responder == null ? knownVersion : announced.getOrDefault(responder, knownVersion);
-    if (expectedVersion > knownVersion) {
+    if (expectedVersion.isAfter(knownVersion)) {
       // Peers that announced no more than the responder would lack the same rows.
       announced.forEach(
           (peer, version) -> {
-            if (version <= expectedVersion) {
+            if (!version.isAfter(expectedVersion)) {
               failed.add(peer);
             }
           });
@@ -85,8 +86,8 @@
   }
 
   /** Returns whether a peer has announced rows that are newer than the given version. */
-  public boolean isBehind(long knownVersion) {
-    return announced.values().stream().anyMatch(version -> version > knownVersion);
+  public boolean isBehind(StoreVersion knownVersion) {
+    return announced.values().stream().anyMatch(version -> version.isAfter(knownVersion));
   }
 
   /**
@@ -95,7 +96,7 @@
    * @param knownVersion highest row version at this node
    * @param nowNanos monotonic time
    */
-  public @Nullable String nextPeer(long knownVersion, long nowNanos) {
+  public @Nullable String nextPeer(StoreVersion knownVersion, long nowNanos) {
     String pending = asked;
     if (pending != null) {
       if (nowNanos - askedNanos < timeoutNanos) {
@@ -115,17 +116,18 @@
     return next;
   }
 
-  private @Nullable String choosePeer(long knownVersion) {
-    List<Map.Entry<String, Long>> newer =
+  private @Nullable String choosePeer(StoreVersion knownVersion) {
+    List<Map.Entry<String, StoreVersion>> newer =
         announced.entrySet().stream()
-            .filter(peer -> peer.getValue() > knownVersion && !failed.contains(peer.getKey()))
+            .filter(
+                peer -> peer.getValue().isAfter(knownVersion) && !failed.contains(peer.getKey()))
             .toList();
     if (newer.isEmpty()) {
       return null;
     }
     // The first response to a node without rows is the whole state, which the newest peer alone
     // could not send to all nodes that start together.
-    return knownVersion < 0
+    return knownVersion.equals(StoreVersion.NONE)
         ? newer.get((int) (random.getAsDouble() * newer.size())).getKey()
         : Collections.max(newer, Map.Entry.comparingByValue()).getKey();
   }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
@@ -26,6 +26,8 @@
 
   private final ExposureSchedule schedule;
   private final Map<String, RolloutOrder> orders = new HashMap<>();
+  // The order that each one replaced, which an older copy of the store may hold.
+  private final Map<String, RolloutOrder> replacedOrders = new HashMap<>();
   private final Map<String, ShareGrant> grants = new HashMap<>();
   private final Map<String, Long> grantReceivedNanos = new HashMap<>();
   private final Map<String, String> completed = new HashMap<>();
@@ -43,11 +45,45 @@
     if (known != null && known.number() >= order.number()) {
       return false;
     }
+    RolloutOrder replaced = replacedOrders.get(order.service());
+    if (replaced != null && replaced.isKeptAs(order)) {
+      return false;
+    }
+    if (known != null) {
+      replacedOrders.put(order.service(), known);
+    }
     orders.put(order.service(), order);
     budgets.put(order.service(), schedule.createBudget());
     return true;
   }
 
+  /**
+   * Gives the known order of a service the number that it has in a later era of the store; its
+   * rollout goes on, or stays ended.
+   *
+   * @return whether the order is the known one in a later era
+   */
+  public boolean renumber(RolloutOrder order) {
+    RolloutOrder known = orders.get(order.service());
+    if (known == null || !known.isRepeatedBy(order)) {
+      return false;
+    }
+    if (stateOf(known) == RolloutState.TAKEN_BACK) {
+      takenBack.add(orderKey(order.service(), order.toVersion(), order.number()));
+    }
+    orders.put(order.service(), order);
+    ShareGrant grant = grants.get(order.service());
+    if (grant != null && grant.orderNumber() == known.number()) {
+      grants.put(order.service(), grant.withOrderNumber(order.number()));
+    }
+    return true;
+  }
+
+  /** Returns the orders of all services. */
+  public List<RolloutOrder> orders() {
+    return List.copyOf(orders.values());
+  }
+
   /** Sets the number of known nodes, which share the slack of the budget. */
   public void setKnownNodes(int nodes) {
     double slackCalls = schedule.limits().slackCallsPerNode(nodes);
@@ -112,16 +148,16 @@
    * Applies the stored progress of a rollout.
    *
    * @param progress content of the progress row
-   * @param rowVersion version of the row; if it is not above the number of the order, the row
-   *     belongs to an earlier rollout
+   * @param rowNumber version of the row as a number; if it is not above the number of the order,
+   *     the row belongs to an earlier rollout
    */
-  public void applyProgress(RolloutProgress progress, long rowVersion) {
+  public void applyProgress(RolloutProgress progress, long rowNumber) {
     RolloutOrder order = orders.get(progress.service());
     if (progress.state() == RolloutState.COMPLETED) {
       completed.put(progress.service(), progress.toVersion());
     } else if (progress.state() == RolloutState.TAKEN_BACK
         && order != null
-        && rowVersion > order.number()
+        && rowNumber > order.number()
         && order.toVersion().equals(progress.toVersion())) {
       takenBack.add(orderKey(order.service(), order.toVersion(), order.number()));
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/ShareGrant.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/ShareGrant.java
@@ -19,4 +19,10 @@
     long number,
     int sharePermille,
     RolloutState state,
-    int elapsedMs) {}
+    int elapsedMs) {
+
+  /** Returns this grant for the number that the order has in another era of the store. */
+  ShareGrant withOrderNumber(long other) {
+    return new ShareGrant(service, toVersion, other, number, sharePermille, state, elapsedMs);
+  }
+}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/MeshStore.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/MeshStore.java
@@ -11,10 +11,19 @@
 
   /**
    * Waits for changes of an area after a version. Fails with {@link StoreException}; with {@link
-   * StoreErrorCode#HISTORY_GONE} the area has to be read again.
+   * StoreErrorCode#HISTORY_GONE} the area has to be read again, also because the store is in
+   * another era than the version.
    */
-  Uni<StoreRows> awaitChanges(StoreArea area, long afterVersion, Duration wait);
+  Uni<StoreRows> awaitChanges(StoreArea area, StoreVersion afterVersion, Duration wait);
 
-  /** Writes a row if it still has the expected version; 0 means that it must not exist. */
-  Uni<WriteOutcome> write(StoreArea area, String key, byte[] value, long expectedVersion);
+  /**
+   * Writes a row if it still has the expected version; {@link StoreVersion#ABSENT} means that it
+   * must not exist.
+   */
+  Uni<WriteOutcome> write(StoreArea area, String key, byte[] value, StoreVersion expectedVersion);
+
+  /** Returns the number of responses whose era was malformed. */
+  default long malformedEras() {
+    return 0;
+  }
 }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRow.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRow.java
@@ -8,4 +8,4 @@
  * @param version version of the store that its last write created
  * @param removed whether the row was removed
  */
-public record StoreRow(String key, byte[] value, long version, boolean removed) {}
+public record StoreRow(String key, byte[] value, StoreVersion version, boolean removed) {}
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRows.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRows.java
@@ -8,4 +8,4 @@
  * @param rows the rows
  * @param version version of the store from which to wait for further changes
  */
-public record StoreRows(List<StoreRow> rows, long version) {}
+public record StoreRows(List<StoreRow> rows, StoreVersion version) {}
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -18,6 +18,7 @@
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.rollout.RolloutState;
 import org.acaciapond.mesh.rollout.ShareGrant;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -41,14 +42,16 @@
   @Test
   void messagesAreDecodedAsEncoded() {
     assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, null));
-    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, new StateSummary(9, -4)));
+    assertRoundTrip(
+        new PeerMessage.Hello(
+            NODE, 7, true, 12, true, new StateSummary(new StoreVersion(2, 9), -4)));
     assertRoundTrip(
         new PeerMessage.Status(
             new TargetStatus("i", 1, "s", "v1", TargetPhase.DRAINING, 9, 30, true, 4),
             new TargetLoad(1, 2, 2, 3, 4),
             8,
             true,
-            new StateSummary(9, -4)));
+            new StateSummary(new StoreVersion(2, 9), -4)));
     assertRoundTrip(
         new PeerMessage.StoppedTarget(
             new TargetStatus("i", 1, "s", "v", TargetPhase.GONE, 0, 0, false, 2)));
@@ -57,8 +60,21 @@
     assertRoundTrip(new PeerMessage.Pong(1));
     assertRoundTrip(new PeerMessage.StateRequest(false, List.of()));
     assertRoundTrip(
-        new PeerMessage.StateRequest(true, List.of(new PeerMessage.HeldRow("config", 7))));
-    assertRoundTrip(new PeerMessage.StateDeltas(List.of(), 9, List.of("evacuate/a")));
+        new PeerMessage.StateRequest(
+            true, List.of(new PeerMessage.HeldRow("config", new StoreVersion(2, 7)))));
+    PeerMessage.StateDeltas deltas =
+        new PeerMessage.StateDeltas(
+            List.of(
+                new PeerMessage.RowDelta(
+                    "config", new StoreVersion(2, 7), new StoreVersion(1, 9), new byte[0])),
+            new StoreVersion(2, 9),
+            List.of("evacuate/a"));
+    PeerMessage.StateDeltas decoded =
+        assertInstanceOf(PeerMessage.StateDeltas.class, receiver.decode(sender.encode(deltas)));
+    assertEquals(deltas.completeTo(), decoded.completeTo());
+    assertEquals(deltas.removed(), decoded.removed());
+    assertEquals(new StoreVersion(2, 7), decoded.rows().get(0).rowVersion());
+    assertEquals(new StoreVersion(1, 9), decoded.rows().get(0).baseVersion());
     assertRoundTrip(new PeerMessage.Nodes(List.of(NODE, NODE)));
     assertRoundTrip(
         new PeerMessage.Grants(
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/RowHistoryTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/RowHistoryTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 class RowHistoryTest {
@@ -16,7 +17,7 @@
 
   private static PeerMessage.StateRow row(long version) {
     byte[] value = ("value of version " + version).getBytes(StandardCharsets.UTF_8);
-    return new PeerMessage.StateRow("config", version, value);
+    return new PeerMessage.StateRow("config", new StoreVersion(1, version), value);
   }
 
   private PeerMessage.RowDelta deltaFor(List<PeerMessage.HeldRow> held) {
@@ -33,7 +34,7 @@
 
     PeerMessage.RowDelta delta = deltaFor(receiver.held());
 
-    assertEquals(3, delta.baseVersion());
+    assertEquals(new StoreVersion(1, 3), delta.baseVersion());
     assertArrayEquals(row(5).value(), receiver.restore(delta).value());
   }
 
@@ -41,7 +42,7 @@
   void nodeWithoutValueReceivesWholeRow() {
     sender.record(row(5));
     PeerMessage.RowDelta whole = deltaFor(receiver.held());
-    assertEquals(0, whole.baseVersion());
+    assertEquals(RowHistory.WHOLE, whole.baseVersion());
     assertArrayEquals(row(5).value(), receiver.restore(whole).value());
   }
 
@@ -51,7 +52,7 @@
     for (int version = 1; version <= 20; version++) {
       sender.record(row(version));
     }
-    assertEquals(0, deltaFor(receiver.held()).baseVersion());
+    assertEquals(RowHistory.WHOLE, deltaFor(receiver.held()).baseVersion());
   }
 
   @Test
@@ -65,7 +66,8 @@
   void deltaToUnknownValueIsRejected() {
     sender.record(row(3));
     sender.record(row(5));
-    PeerMessage.RowDelta delta = deltaFor(List.of(new PeerMessage.HeldRow("config", 3)));
+    PeerMessage.RowDelta delta =
+        deltaFor(List.of(new PeerMessage.HeldRow("config", new StoreVersion(1, 3))));
     assertThrows(PeerException.class, () -> receiver.restore(delta));
   }
 }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutRegistryTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/rollout/RolloutRegistryTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.target.Candidate;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -133,6 +134,52 @@
     assertEquals("cd", allowedTargets(0.1, MS));
   }
 
+  private static RolloutOrder order(String version, long era, long number) {
+    return new RolloutOrder("s", version, 14_000, new StoreVersion(era, number).toNumber());
+  }
+
+  /** Guards against a decided rollout that starts again as the operator wrote its order again. */
+  @Test
+  void orderWrittenAgainInALaterEraStaysDecided() {
+    RolloutOrder first = order("v2", 1, 60);
+    registry.applyOrder(first);
+    registry.applyGrant(grant(first.number(), 0, RolloutState.TAKEN_BACK), 0);
+
+    assertTrue(registry.renumber(order("v2", 2, 45)));
+    assertFalse(registry.applyOrder(order("v2", 2, 45)));
+    assertTrue(registry.runningOrders().isEmpty());
+    assertEquals(order("v2", 2, 45).number(), registry.endedRollouts().get(0).orderNumber());
+
+    assertFalse(registry.renumber(order("v2", 2, 80)));
+    assertTrue(registry.applyOrder(order("v2", 2, 80)));
+    assertEquals(1, registry.runningOrders().size());
+  }
+
+  /** Guards against a share that drops to 0 while a rollout goes on in a later era. */
+  @Test
+  void grantOfRunningRolloutStaysValidInALaterEra() {
+    RolloutOrder first = order("v2", 1, 60);
+    registry.applyOrder(first);
+    recordAnswers(100);
+    registry.applyGrant(grant(first.number(), 160, RolloutState.RUNNING), 0);
+
+    assertTrue(registry.renumber(order("v2", 2, 45)));
+
+    assertEquals("c", allowedTargets(0.1, MS));
+  }
+
+  /** Guards against a rollout to an earlier version because an older copy of the store names it. */
+  @Test
+  void replacedOrderInAnOlderCopyIsIgnored() {
+    registry.applyOrder(order("v1", 1, 40));
+    registry.applyOrder(order("v2", 1, 60));
+
+    assertFalse(registry.renumber(order("v1", 2, 40)));
+    assertFalse(registry.applyOrder(order("v1", 2, 40)));
+    assertTrue(registry.renumber(order("v2", 2, 45)));
+    assertEquals("v2", registry.runningOrders().get(0).toVersion());
+  }
+
   @Test
   void completedVersionGetsAllRequests() {
     registry.applyOrder(new RolloutOrder("s", "v2", 14_000, 1));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -107,7 +107,7 @@
             settings.domain(),
             settings.service(),
             time.now().toEpochMilli());
-    operatorState = new OperatorState(codec, desiredState, log, metrics);
+    operatorState = new OperatorState(codec, desiredState, log, metrics, time);
     gateway = new TargetGateway(vertx, settings, codec.headers(), log, metrics, time);
     rollouts =
         new RolloutService(
@@ -171,6 +171,7 @@
             log,
             metrics,
             random);
+    operatorState.setEraListener(nodeRegistry::onEraChanged);
     operatorFeed =
         new StoreFeed(
             vertx,
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutProgressWriter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutProgressWriter.java
@@ -9,6 +9,7 @@
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.store.WriteOutcome;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +36,7 @@
   /** Listener for the stored progress. */
   interface Listener {
     /** Called when the row, written by any node, records the end of this order. */
-    void onEnded(RolloutProgress progress, long rowVersion);
+    void onEnded(RolloutProgress progress, long rowNumber);
   }
 
   RolloutProgressWriter(
@@ -70,6 +71,12 @@
   }
 
   private void onRows(StoreRows rows) {
+    if (rows.version().era() > StoreVersion.ofNumber(order.number()).era()) {
+      // The rows cannot be compared with the order until it has a number of their era; the writer
+      // of the order with that number takes over.
+      updating = false;
+      return;
+    }
     StoreRow current = null;
     for (StoreRow row : rows.rows()) {
       if (row.key().equals(codec.rolloutKey(order.service())) && !row.removed()) {
@@ -79,12 +86,12 @@
     RolloutProgress progress = current == null ? null : codec.decodeProgress(current);
     if (current != null
         && progress != null
-        && current.version() > order.number()
+        && current.version().toNumber() > order.number()
         && progress.toVersion().equals(order.toVersion())) {
       if (progress.state() != RolloutState.RUNNING) {
         updating = false;
         writtenState = desiredState;
-        listener.onEnded(progress, current.version());
+        listener.onEnded(progress, current.version().toNumber());
         return;
       }
       if (progress.state() == desiredState) {
@@ -101,7 +108,7 @@
             StoreArea.ROLLOUTS,
             codec.rolloutKey(order.service()),
             value,
-            current == null ? 0 : current.version())
+            current == null ? StoreVersion.ABSENT : current.version())
         .subscribe()
         .with(outcome -> onWritten(state, outcome), this::onFailure);
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
@@ -66,7 +66,7 @@
 
   /** Running rollout of one service at this node. */
   private final class RunningRollout {
-    final RolloutOrder order;
+    RolloutOrder order;
     // Calls of this node, and those that other nodes reported to it.
     final EvidenceTotals localTotals = new EvidenceTotals();
     final Map<String, EvidenceTotals> reportedTotals = new HashMap<>();
@@ -140,13 +140,17 @@
     for (StoreRow row : rows.rows()) {
       RolloutProgress progress = codec.decodeProgress(row);
       if (progress != null) {
-        registry.applyProgress(progress, row.version());
+        registry.applyProgress(progress, row.version().toNumber());
       }
     }
   }
 
   /** Applies an operator's rollout order. */
   public void applyOrder(RolloutOrder order) {
+    if (registry.renumber(order)) {
+      onRenumbered(order);
+      return;
+    }
     if (!registry.applyOrder(order)) {
       return;
     }
@@ -167,6 +171,32 @@
     }
   }
 
+  // The store has come back from an older copy, which may lack the progress of the rollout.
+  private void onRenumbered(RolloutOrder order) {
+    RolloutState state = registry.stateOf(order);
+    log.event(
+        "move_renumbered",
+        "service",
+        order.service(),
+        "to",
+        order.toVersion(),
+        "number",
+        order.number(),
+        "state",
+        state);
+    RunningRollout rollout = rollouts.get(order.service());
+    if (rollout != null) {
+      rollout.order = order;
+      rollout.progressWriter = null;
+    }
+    if (state != RolloutState.RUNNING) {
+      publish(registry.endedRollouts());
+      if (rollout == null) {
+        storeEnd(new RunningRollout(order, time.nanoTime()), state);
+      }
+    }
+  }
+
   @Override
   public Predicate<Candidate> forRequest(String service, List<Candidate> candidates, double draw) {
     return registry.versionFilter(service, candidates, draw, time.nanoTime());
@@ -397,7 +427,7 @@
         store,
         codec,
         rollout.order,
-        (progress, rowVersion) -> onEnded(rollout, progress, rowVersion),
+        (progress, rowNumber) -> onEnded(rollout, progress, rowNumber),
         log);
   }
 
@@ -419,8 +449,8 @@
         rollout.elapsedMs());
   }
 
-  private void onEnded(RunningRollout rollout, RolloutProgress progress, long rowVersion) {
-    registry.applyProgress(progress, rowVersion);
+  private void onEnded(RunningRollout rollout, RolloutProgress progress, long rowNumber) {
+    registry.applyProgress(progress, rowNumber);
     publish(registry.endedRollouts());
     log.event(
         "move_ended",
@@ -435,7 +465,11 @@
   // The analyzer's progress writer keeps running until the row is written. Other nodes need nothing
   // more of the rollout.
   private void finish(RunningRollout rollout) {
-    RolloutState state = registry.stateOf(rollout.order);
+    storeEnd(rollout, registry.stateOf(rollout.order));
+    rollouts.remove(rollout.order.service(), rollout);
+  }
+
+  private void storeEnd(RunningRollout rollout, RolloutState state) {
     RolloutProgressWriter progressWriter = rollout.progressWriter;
     PeerNetwork peers = network;
     if (progressWriter == null && peers != null && peers.lowestKey().equals(nodeKey)) {
@@ -444,7 +478,6 @@
     if (progressWriter != null) {
       progressWriter.setDesiredState(state);
     }
-    rollouts.remove(rollout.order.service(), rollout);
   }
 
   private void publish(List<ShareGrant> grants) {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -17,6 +17,7 @@
 import org.acaciapond.mesh.store.StoreArea;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.store.WriteOutcome;
 import org.acaciapond.mesh.target.TargetDeparture;
 import org.acaciapond.mesh.target.TargetDepartures;
@@ -42,6 +43,8 @@
   private static final int MAX_BACKOFF_MS = 1_000;
   // A periodic read detects that another writer has changed or removed this node's row.
   private static final int REFRESH_INTERVAL_MS = 60_000;
+  // Spreads the reads of all nodes when the store has come back from an older copy.
+  private static final int ERA_REFRESH_SPREAD_MS = 1_000;
   private static final long NO_TIMER = -1;
 
   private final Vertx vertx;
@@ -53,7 +56,7 @@
   private final EventLog log;
   private final NodeMetrics metrics;
   private final DoubleSupplier random;
-  private final Map<String, Long> rowVersions = new HashMap<>();
+  private final Map<String, StoreVersion> rowVersions = new HashMap<>();
   private final List<PendingDeparture> pendingDepartures = new ArrayList<>();
   // Departures that the row has to hold, and those that it is known to hold.
   private TargetDepartures departures = TargetDepartures.NONE;
@@ -62,6 +65,9 @@
   private boolean registered;
   private boolean rowVersionKnown;
   private long refreshTimer = NO_TIMER;
+  // Era in which the table was read, and the latest known one of the store.
+  private long tableEra;
+  private long storeEra;
   private int backoffMs = MIN_BACKOFF_MS;
 
   /** Departure that somebody waits for to be stored. */
@@ -99,6 +105,25 @@
     return tableRead;
   }
 
+  /**
+   * Reads the table again because the store has come back from an older copy, which may lack this
+   * node's row or the departures in it.
+   */
+  public void onEraChanged(long era) {
+    storeEra = era;
+    if (vertx.cancelTimer(refreshTimer)) {
+      scheduleRefresh();
+    }
+  }
+
+  private void scheduleRefresh() {
+    int delayMs =
+        tableEra < storeEra
+            ? 1 + (int) (random.getAsDouble() * ERA_REFRESH_SPREAD_MS)
+            : REFRESH_INTERVAL_MS;
+    refreshTimer = vertx.setTimer(delayMs, id -> read());
+  }
+
   /** Stores a departure of the target in this node's row; completes once the row holds it. */
   public Uni<Void> recordDeparture(TargetDeparture departure) {
     return Uni.createFrom()
@@ -149,11 +174,12 @@
     metrics.countStoreCall("ok");
     backoffMs = MIN_BACKOFF_MS;
     registered = false;
+    tableEra = rows.version().era();
     rowVersionKnown = true;
     rowVersions.remove(self.key());
     storedDepartures = TargetDepartures.NONE;
     for (StoreRow row : rows.rows()) {
-      boolean newer = row.version() > rowVersions.getOrDefault(row.key(), 0L);
+      boolean newer = row.version().isAfter(rowVersions.getOrDefault(row.key(), StoreVersion.NONE));
       rowVersions.put(row.key(), row.version());
       if (newer) {
         processRow(row);
@@ -167,7 +193,7 @@
 
   private void maintainRow() {
     if (registered && storedDepartures.coversAll(departures)) {
-      refreshTimer = vertx.setTimer(REFRESH_INTERVAL_MS, id -> read());
+      scheduleRefresh();
     } else if (registered || !pendingDepartures.isEmpty()) {
       write();
     } else {
@@ -218,7 +244,7 @@
 
   private void write() {
     TargetDepartures written = departures;
-    long expected = rowVersions.getOrDefault(self.key(), 0L);
+    StoreVersion expected = rowVersions.getOrDefault(self.key(), StoreVersion.ABSENT);
     store
         .write(
             StoreArea.NODES, self.key(), NodeRowCodec.encode(new NodeRow(self, written)), expected)
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorState.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.evacuation.EvacuatedDomains;
 import org.acaciapond.mesh.peer.OperatorRows;
 import org.acaciapond.mesh.platform.OperatorRow;
@@ -11,6 +13,7 @@
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.store.StoreRow;
 import org.acaciapond.mesh.store.StoreRows;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
@@ -24,19 +27,27 @@
   private final DesiredStateHolder holder;
   private final EventLog log;
   private final NodeMetrics metrics;
+  private final TimeSource time;
   private final OperatorRows rows = new OperatorRows();
   private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
   private Runnable changeListener = () -> {};
+  private long era;
+  private LongConsumer eraListener = latest -> {};
   private Runnable evacuationListener = () -> {};
   private Consumer<RolloutOrder> orderListener = order -> {};
 
   /** Creates an empty state. */
   public OperatorState(
-      PlatformCodec codec, DesiredStateHolder holder, EventLog log, NodeMetrics metrics) {
+      PlatformCodec codec,
+      DesiredStateHolder holder,
+      EventLog log,
+      NodeMetrics metrics,
+      TimeSource time) {
     this.codec = codec;
     this.holder = holder;
     this.log = log;
     this.metrics = metrics;
+    this.time = time;
   }
 
   /** Sets the listener that is called after rows have changed. */
@@ -49,6 +60,11 @@
     evacuationListener = listener;
   }
 
+  /** Sets the listener for a new era of the store, called before its rows are applied. */
+  public void setEraListener(LongConsumer listener) {
+    eraListener = listener;
+  }
+
   /** Sets the listener for rollout orders. */
   public void setOrderListener(Consumer<RolloutOrder> listener) {
     orderListener = listener;
@@ -66,11 +82,18 @@
 
   /** Applies rows of a peer; see {@link OperatorRows#applyPeerRows}. */
   public void applyPeerRows(
-      List<StoreRow> received, List<String> removed, long version, boolean complete) {
+      List<StoreRow> received, List<String> removed, StoreVersion version, boolean complete) {
     process(rows.applyPeerRows(received, removed, version, complete), PEER);
   }
 
   private void process(List<StoreRow> applied, String source) {
+    long latestEra = rows.completeTo().era();
+    if (latestEra > era) {
+      log.event("store_era", "from", era, "to", latestEra, "source", source);
+      era = latestEra;
+      metrics.setStoreEra(latestEra);
+      eraListener.accept(latestEra);
+    }
     applied.forEach(row -> applyRow(row, source));
     if (!applied.isEmpty()) {
       changeListener.run();
@@ -86,7 +109,7 @@
           "version",
           state.state().version(),
           "row_version",
-          row.version(),
+          row.version().version(),
           "source",
           source,
           "in_force",
@@ -106,7 +129,7 @@
           "key",
           row.key(),
           "row_version",
-          row.version(),
+          row.version().version(),
           "source",
           source,
           "problem",
@@ -114,8 +137,8 @@
     }
   }
 
-  private void applyEvacuation(OperatorRow.Evacuation order, long rowVersion, String source) {
-    if (!evacuatedDomains.apply(order)) {
+  private void applyEvacuation(OperatorRow.Evacuation order, StoreVersion version, String source) {
+    if (!evacuatedDomains.apply(order, version, time.nanoTime())) {
       return;
     }
     log.event(
@@ -123,13 +146,25 @@
         "domain",
         order.domain(),
         "row_version",
-        rowVersion,
+        version.version(),
         "source",
         source);
+    evacuationsChanged();
+  }
+
+  private void evacuationsChanged() {
     metrics.setEvacuatedDomains(evacuatedDomains.size());
     evacuationListener.run();
   }
 
+  /** Ends evacuation orders that the store lost and the operator did not write again. */
+  public void expireLostOrders() {
+    if (evacuatedDomains.expireLostOrders(time.nanoTime())) {
+      log.event("domain_evacuation_ended", "source", "lost_with_era");
+      evacuationsChanged();
+    }
+  }
+
   private void reportUnknownKinds(DesiredState state) {
     List<String> routes = state.routesOfUnknownKind();
     metrics.setRoutesOfUnknownKind(routes.size());
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/OperatorStateExchange.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -14,6 +15,7 @@
 import org.acaciapond.mesh.peer.StateRequestScheduler;
 import org.acaciapond.mesh.peer.StateSummary;
 import org.acaciapond.mesh.store.StoreRow;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.sidecar.peer.StateExchange;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
@@ -105,12 +107,16 @@
 
   @Override
   public void onPeerState(String peer, @Nullable StateSummary summary, long rowVersion) {
-    long announced = summary == null ? rowVersion : summary.completeTo();
-    if (summary == null ? announced <= rows.completeTo() : !rows.isBehind(summary)) {
+    boolean newer =
+        summary == null
+            ? versionInPresentEra(rowVersion).isAfter(rows.completeTo())
+            : rows.isBehind(summary);
+    if (!newer) {
       return;
     }
     boolean wasBehind = scheduler.isBehind(rows.completeTo());
-    scheduler.announce(peer, announced);
+    scheduler.announce(
+        peer, summary == null ? versionInPresentEra(rowVersion) : summary.completeTo());
     if (!wasBehind) {
       startWaiting();
       if (receivesChangesFromStore.getAsBoolean()) {
@@ -120,6 +126,11 @@
     check();
   }
 
+  // Nodes of earlier releases do not know eras.
+  private StoreVersion versionInPresentEra(long version) {
+    return new StoreVersion(rows.completeTo().era(), version);
+  }
+
   private void startWaiting() {
     behindSinceNanos = time.nanoTime();
     requestCount = 0;
@@ -132,6 +143,7 @@
 
   @Override
   public void check() {
+    state.expireLostOrders();
     long nowNanos = time.nanoTime();
     if (scheduler.isBehind(rows.completeTo())
         && nowNanos - behindSinceNanos >= storeReaderDelayMs() * 1_000_000L) {
@@ -143,7 +155,9 @@
     if (!receivesChangesFromStore.getAsBoolean()) {
       return 0;
     }
-    return rows.completeTo() < 0 ? STARTING_NODE_DELAY_MS : STORE_READER_DELAY_MS;
+    return rows.completeTo().equals(StoreVersion.NONE)
+        ? STARTING_NODE_DELAY_MS
+        : STORE_READER_DELAY_MS;
   }
 
   private void requestRows(long nowNanos) {
@@ -157,7 +171,8 @@
   @Override
   public void accept(PeerMessage.StateRows received) {
     int bytes = received.rows().stream().mapToInt(row -> row.value().length).sum();
-    apply(received.rows(), List.of(), latestVersion(received.rows()), true, bytes);
+    List<PeerMessage.StateRow> inEra = received.rows().stream().map(this::inPresentEra).toList();
+    apply(inEra, List.of(), latestVersion(inEra), true, bytes);
   }
 
   @Override
@@ -168,26 +183,44 @@
     for (PeerMessage.RowDelta delta : deltas.rows()) {
       bytes += delta.delta().length;
       try {
-        restored.add(rows.history().restore(delta));
+        restored.add(rows.history().restore(inPresentEra(delta)));
       } catch (PeerException e) {
         // The next request asks for whole rows.
         deltaRejected = true;
         log.event("state_delta_rejected", "key", delta.key(), "problem", e.getMessage());
       }
     }
-    long version = deltas.completeTo() < 0 ? latestVersion(restored) : deltas.completeTo();
+    StoreVersion completeTo = deltas.completeTo();
+    StoreVersion version = completeTo == null ? latestVersion(restored) : completeTo;
     apply(restored, deltas.removed(), version, !deltaRejected, bytes);
   }
 
+  private PeerMessage.StateRow inPresentEra(PeerMessage.StateRow row) {
+    StoreVersion version = row.rowVersion().inEraIfUnknown(rows.completeTo().era());
+    return new PeerMessage.StateRow(row.key(), version, row.value());
+  }
+
+  private PeerMessage.RowDelta inPresentEra(PeerMessage.RowDelta row) {
+    long era = rows.completeTo().era();
+    return new PeerMessage.RowDelta(
+        row.key(),
+        row.rowVersion().inEraIfUnknown(era),
+        row.baseVersion().inEraIfUnknown(era),
+        row.delta());
+  }
+
   // Peers of earlier releases do not tell up to which version they know all rows.
-  private static long latestVersion(List<PeerMessage.StateRow> received) {
-    return received.stream().mapToLong(PeerMessage.StateRow::rowVersion).max().orElse(-1);
+  private static StoreVersion latestVersion(List<PeerMessage.StateRow> received) {
+    return received.stream()
+        .map(PeerMessage.StateRow::rowVersion)
+        .max(Comparator.naturalOrder())
+        .orElse(StoreVersion.NONE);
   }
 
   private void apply(
       List<PeerMessage.StateRow> received,
       List<String> removed,
-      long version,
+      StoreVersion version,
       boolean complete,
       int bytes) {
     logReceived(received.size(), bytes);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
@@ -10,6 +10,7 @@
 import org.acaciapond.mesh.store.StoreErrorCode;
 import org.acaciapond.mesh.store.StoreException;
 import org.acaciapond.mesh.store.StoreRows;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +21,6 @@
  */
 public final class StoreFeed {
 
-  private static final long NO_VERSION = -1;
   private static final int MIN_BACKOFF_MS = 100;
   private static final int MAX_BACKOFF_MS = 1_000;
   private static final int READER_CHECK_INTERVAL_MS = 250;
@@ -35,7 +35,7 @@
   private final EventLog log;
   private final NodeMetrics metrics;
   private final DoubleSupplier random;
-  private long version = NO_VERSION;
+  private StoreVersion version = StoreVersion.NONE;
   private int backoffMs = MIN_BACKOFF_MS;
   private boolean unavailable;
   private boolean stopped;
@@ -86,7 +86,7 @@
     if (stopped) {
       return;
     }
-    if (version == NO_VERSION) {
+    if (version.equals(StoreVersion.NONE)) {
       store.read(area).subscribe().with(rows -> onResponse(rows, onTable), this::onFailure);
       return;
     }
@@ -103,13 +103,14 @@
 
   private void onResponse(StoreRows rows, Consumer<StoreRows> receiver) {
     metrics.countStoreCall("ok");
+    metrics.setMalformedEras(store.malformedEras());
     if (unavailable) {
       unavailable = false;
       log.event("store_regained", "area", area);
       onAvailable.accept(true);
     }
     backoffMs = MIN_BACKOFF_MS;
-    version = Math.max(version, rows.version());
+    version = StoreVersion.max(version, rows.version());
     if (!stopped) {
       receiver.accept(rows);
       readNext();
@@ -119,11 +120,12 @@
   private void onFailure(Throwable error) {
     metrics.countStoreCall("failed");
     if (error instanceof StoreException failure && failure.code() == StoreErrorCode.HISTORY_GONE) {
-      log.event("store_history_gone", "area", area, "after", version);
-      version = NO_VERSION;
+      log.event("store_history_gone", "area", area, "after", version.version());
+      version = StoreVersion.NONE;
     } else if (!unavailable) {
       unavailable = true;
-      log.event("store_lost", "area", area, "after", version, "error", error.getMessage());
+      log.event(
+          "store_lost", "area", area, "after", version.version(), "error", error.getMessage());
       onAvailable.accept(false);
     }
     long delayMs = Math.max(1, (long) (backoffMs * (0.5 + random.getAsDouble())));
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -38,6 +38,8 @@
   private final Gauge routesOfUnknownKind;
   private final Gauge skippedEntries;
   private final Gauge evacuatedDomains;
+  private final Gauge storeEra;
+  private final Gauge malformedEras;
 
   /** Creates and registers the metrics. */
   public NodeMetrics() {
@@ -89,6 +91,10 @@
     evacuatedDomains =
         registerGauge(
             "acaciapond_evacuated_domains", "Failure domains whose targets get no calls.");
+    storeEra = registerGauge("acaciapond_store_era", "Latest known era of the store.");
+    malformedEras =
+        registerGauge(
+            "acaciapond_malformed_store_eras", "Responses of the store with a malformed era.");
     exposureViolations =
         registerGauge(
             "acaciapond_exposure_violations",
@@ -199,6 +205,16 @@
     evacuatedDomains.set(count);
   }
 
+  /** Sets the latest known era of the store. */
+  public void setStoreEra(long era) {
+    storeEra.set(era);
+  }
+
+  /** Sets the number of responses of the store with a malformed era. */
+  public void setMalformedEras(long count) {
+    malformedEras.set(count);
+  }
+
   /** Sets the number of log lines that were dropped. */
   public void setLogLinesDropped(long count) {
     logLinesDropped.set(count);
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/StateDistributionTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.mesh.target.TargetLoad;
 import org.acaciapond.mesh.target.TargetPhase;
 import org.acaciapond.mesh.target.TargetStatus;
@@ -121,7 +122,7 @@
 
   private static PeerMessage.StateRow row(long rowVersion, int version) {
     byte[] value = state(version, "/x").getBytes(StandardCharsets.UTF_8);
-    return new PeerMessage.StateRow("config", rowVersion, value);
+    return new PeerMessage.StateRow("config", new StoreVersion(1, rowVersion), value);
   }
 
   /** Guards against a node that stays behind if a version is announced during a request. */
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/rollout/RolloutProgressWriterTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/rollout/RolloutProgressWriterTest.java
@@ -19,6 +19,7 @@
 import org.acaciapond.mesh.platform.SocketAddressSetting;
 import org.acaciapond.mesh.rollout.RolloutOrder;
 import org.acaciapond.mesh.rollout.RolloutState;
+import org.acaciapond.mesh.store.StoreVersion;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.standin.StandInStore;
 import org.acaciapond.standin.StoreFault;
@@ -55,7 +56,7 @@
         vertx,
         new HttpMeshStore(vertx, new SocketAddressSetting(HOST, store.port()), TimeSource.system()),
         new JsonPlatformCodec(1 << 20),
-        new RolloutOrder("s", "v2", 16_000, 0),
+        new RolloutOrder("s", "v2", 16_000, new StoreVersion(1, 0).toNumber()),
         (progress, rowVersion) -> ended.add(progress.state()),
         log);
   }
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakRun.java
@@ -31,6 +31,7 @@
   private static final int SLOTS = 6;
   private static final int REQUEST_INTERVAL_MS = 15;
   private static final int CHECK_IN_INTERVAL_MS = 300;
+  private static final int FAULTS_PER_OLDER_STORE = 6;
   private static final int DRAIN_WAIT_MS = 2_000;
   private static final int DEREGISTRATION_RETRY_MS = 500;
   private static final Duration WAIT = Duration.ofSeconds(60);
@@ -55,6 +56,8 @@
           .connectTimeout(Duration.ofSeconds(2))
           .build();
   private final Random random;
+  // Separate, so that earlier seeds keep their other faults.
+  private final Random storeRandom;
   private final StandInStore store;
   private final List<StandInTarget> targets = new ArrayList<>();
   private final List<FaultProxy> targetProxies = new ArrayList<>();
@@ -74,10 +77,12 @@
   SoakRun(long seed, Path directory) {
     this.seed = seed;
     this.random = new Random(seed);
+    this.storeRandom = new Random(~seed);
     TimeSource time = TimeSource.system();
     store = new StandInStore(vertx, "127.0.0.1", 0, time);
     store.start().await().atMost(WAIT);
     putNextState();
+    store.takeCopy();
     for (int i = 0; i < NODES; i++) {
       StandInTarget target = new StandInTarget(vertx, "i-" + i, "orders", "127.0.0.1", 0, time);
       target.start().await().atMost(WAIT);
@@ -217,6 +222,20 @@
       case 7 -> putNextState();
       default -> deregister(index);
     }
+    if (storeRandom.nextInt(FAULTS_PER_OLDER_STORE) == 0) {
+      restoreOlderStore();
+    }
+  }
+
+  // The operator writes again what the store has lost. A lost departure could not be told from one
+  // that no running node remembers, so the store goes back only before one.
+  private void restoreOlderStore() {
+    if (deregisteredTarget < 0) {
+      faults.add("older store");
+      store.restoreCopy();
+      store.put("op", "config", STATE.formatted(stateVersion, stateVersion));
+      store.takeCopy();
+    }
   }
 
   // At most one target deregisters per run, so that the others can handle the load.
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/state/NodeRegistryTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/state/NodeRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -139,6 +140,26 @@
     assertEquals(LATER_DEPARTURE, new Process(7_380).nextRestored());
   }
 
+  /** Guards against a confirmed departure that is lost with the writes of an era of the store. */
+  @Test
+  void departureThatTheStoreLostIsWrittenAgain() throws Exception {
+    Process process = new Process(7_380);
+    process.recordAndWait(DEPARTURE);
+    store.takeCopy();
+    process.recordAndWait(LATER_DEPARTURE);
+    final int writes = store.writes();
+
+    store.restoreCopy();
+    vertx.runOnContext(on -> process.registry.onEraChanged(2));
+
+    long endNanos = System.nanoTime() + WAIT.toNanos();
+    while (store.writes() == writes) {
+      assertTrue(System.nanoTime() < endNanos, "nothing was written again");
+      Thread.sleep(20);
+    }
+    assertEquals(LATER_DEPARTURE, new Process(7_380).nextRestored());
+  }
+
   /** Guards against a write for each of the check-ins that a draining target sends. */
   @Test
   void storedDepartureIsNotWrittenAgain() {
