--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -113,7 +113,7 @@
             settings.domain(),
             settings.service(),
             time.now().toEpochMilli());
-    operatorState = new OperatorState(codec, desiredState, log, metrics);
+    operatorState = new OperatorState(codec, desiredState, log, metrics, time);
     gateway =
         new TargetGateway(
             vertx,
@@ -207,6 +207,7 @@
             log,
             metrics,
             random);
+    operatorState.setEraListener(nodeRegistry::onEraChanged);
     operatorFeed =
         new StoreFeed(
             vertx,
