--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundBodies.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundBodies.java
@@ -1,10 +1,11 @@
 package org.acaciapond.sidecar.peer;
 
 import io.vertx.core.Vertx;
-import java.io.ByteArrayOutputStream;
 import java.util.OptionalInt;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.admission.BodySchedule;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
@@ -20,9 +21,12 @@
 final class InboundBodies {
 
   private static final int MAX_BODY_BYTES = 17 << 20;
+  private static final byte[] NO_BYTES = new byte[0];
 
   private final Vertx vertx;
   private final TargetGateway gateway;
+  private final MemoryAccount memory;
+  private final Supplier<MeshResponse> outOfMemory;
   private final TimeSource time;
   private final BodySchedule<Offer> schedule = new BodySchedule<>();
 
@@ -30,22 +34,27 @@
   static final class Offer {
     private final long callNumber;
     private final MeshCall call;
+    private final int bodyBytes;
     private final long offeredNanos;
     private final Consumer<PeerMessage> sender;
     private final Consumer<MeshResponse> onRefused;
     private final Consumer<MeshCall> onComplete;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    // Allocated and reserved when the first bytes arrive.
+    private byte[] body = NO_BYTES;
+    private int receivedBytes;
     private long timer = -1;
 
     private Offer(
         long callNumber,
         MeshCall call,
+        int bodyBytes,
         long offeredNanos,
         Consumer<PeerMessage> sender,
         Consumer<MeshResponse> onRefused,
         Consumer<MeshCall> onComplete) {
       this.callNumber = callNumber;
       this.call = call;
+      this.bodyBytes = bodyBytes;
       this.offeredNanos = offeredNanos;
       this.sender = sender;
       this.onRefused = onRefused;
@@ -53,9 +62,22 @@
     }
   }
 
-  InboundBodies(Vertx vertx, TargetGateway gateway, TimeSource time) {
+  /**
+   * Creates a collection without calls.
+   *
+   * @param memory account in which the bodies are reserved while they arrive
+   * @param outOfMemory creates the response to a call whose body has no room in the account
+   */
+  InboundBodies(
+      Vertx vertx,
+      TargetGateway gateway,
+      MemoryAccount memory,
+      Supplier<MeshResponse> outOfMemory,
+      TimeSource time) {
     this.vertx = vertx;
     this.gateway = gateway;
+    this.memory = memory;
+    this.outOfMemory = outOfMemory;
     this.time = time;
   }
 
@@ -75,7 +97,15 @@
       Consumer<MeshResponse> onRefused,
       Consumer<MeshCall> onComplete) {
     long nowNanos = time.nanoTime();
-    Offer offer = new Offer(message.callNumber(), call, nowNanos, sender, onRefused, onComplete);
+    Offer offer =
+        new Offer(
+            message.callNumber(),
+            call,
+            message.bodyBytes(),
+            nowNanos,
+            sender,
+            onRefused,
+            onComplete);
     MeshResponse refusal = gateway.refusalNow(call);
     if (refusal != null) {
       onRefused.accept(refusal);
@@ -118,6 +148,7 @@
   void cancel(Offer offer) {
     schedule.remove(offer, time.nanoTime());
     vertx.cancelTimer(offer.timer);
+    release(offer);
     gateway.setAnnouncedCalls(schedule.size());
     requestBodies();
   }
@@ -129,7 +160,14 @@
       complete(offer);
       return;
     }
-    offer.body.writeBytes(bytes);
+    if (offer.body.length == 0 && !reserve(offer)) {
+      cancel(offer);
+      offer.onRefused.accept(outOfMemory.get());
+      return;
+    }
+    int length = Math.min(bytes.length, offer.body.length - offer.receivedBytes);
+    System.arraycopy(bytes, 0, offer.body, offer.receivedBytes, length);
+    offer.receivedBytes += length;
     if (schedule.receive(offer, bytes.length, time.nanoTime())) {
       vertx.cancelTimer(offer.timer);
       gateway.setAnnouncedCalls(schedule.size());
@@ -138,9 +176,24 @@
     requestBodies();
   }
 
+  private boolean reserve(Offer offer) {
+    if (!memory.reserveOrEvict(offer.bodyBytes)) {
+      return false;
+    }
+    offer.body = new byte[offer.bodyBytes];
+    return true;
+  }
+
+  private void release(Offer offer) {
+    memory.release(offer.body.length);
+    offer.body = NO_BYTES;
+  }
+
   private void complete(Offer offer) {
     int elapsedMs = (int) ((time.nanoTime() - offer.offeredNanos) / 1_000_000);
-    offer.onComplete.accept(offer.call.withBody(offer.body.toByteArray()).afterTransit(elapsedMs));
+    byte[] body = offer.body;
+    release(offer);
+    offer.onComplete.accept(offer.call.withBody(body).afterTransit(elapsedMs));
   }
 
   /** Requests more bytes; called periodically as well, in case that a sender does not send. */
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -12,15 +12,19 @@
 import java.util.Set;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.http.SocketServer;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
+import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerMessage;
 import org.acaciapond.mesh.peer.TransitDelay;
 import org.acaciapond.mesh.rollout.ShareGrant;
 import org.acaciapond.sidecar.target.TargetGateway;
 import org.acaciapond.sidecar.telemetry.EventLog;
+import org.acaciapond.sidecar.telemetry.NodeMetrics;
 
 /** Connections that other nodes opened to this one, and the calls to the local target on them. */
 final class InboundPeers implements ManagedService {
@@ -28,6 +32,7 @@
   // Calls with a longer transit time are logged.
   private static final int LATE_CALL_MS = 200;
   private static final int MAX_PENDING_RESPONSE_BYTES = 4 << 20;
+  private static final int OUT_OF_MEMORY_RETRY_MS = 1_000;
 
   private final SocketServer server;
   private final Context context;
@@ -37,7 +42,9 @@
   private final RolloutExchange rolloutExchange;
   private final LimitExchange limitExchange;
   private final Handshake handshake;
+  private final MemoryAccount memory;
   private final EventLog log;
+  private final NodeMetrics metrics;
   private final TimeSource time;
   private final Map<PeerSocket, InboundConnection> connections = new HashMap<>();
 
@@ -64,8 +71,9 @@
     String key = "";
     long loadSentNanos;
 
-    InboundConnection(PeerSocket socket) {
-      responses = new ResponseWriter(socket::send, socket::isWritable, MAX_PENDING_RESPONSE_BYTES);
+    InboundConnection(PeerSocket socket, MemoryAccount memory) {
+      responses =
+          new ResponseWriter(socket::send, socket::isWritable, MAX_PENDING_RESPONSE_BYTES, memory);
       socket.onWritable(responses::writePending);
     }
   }
@@ -78,17 +86,21 @@
       RolloutExchange rolloutExchange,
       LimitExchange limitExchange,
       Handshake handshake,
+      MemoryAccount memory,
       EventLog log,
+      NodeMetrics metrics,
       TimeSource time) {
     this.context = vertx.getOrCreateContext();
     this.server = new SocketServer(vertx, self.host(), self.port(), this::accept);
     this.gateway = gateway;
-    this.bodies = new InboundBodies(vertx, gateway, time);
+    this.bodies = new InboundBodies(vertx, gateway, memory, this::outOfMemory, time);
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
     this.limitExchange = limitExchange;
     this.handshake = handshake;
+    this.memory = memory;
     this.log = log;
+    this.metrics = metrics;
     this.time = time;
   }
 
@@ -153,7 +165,7 @@
             this::onMessage,
             this::onClosed,
             problem -> log.event("peer_problem", "error", problem));
-    connections.put(peer, new InboundConnection(peer));
+    connections.put(peer, new InboundConnection(peer, memory));
     peer.send(handshake.hello());
     peer.send(handshake.status());
     List<ShareGrant> grants = rolloutExchange.grants();
@@ -209,6 +221,12 @@
     return sentMs == 0 ? 0 : connection.transit.measureMs(sentMs, time.nanoTime());
   }
 
+  private MeshResponse outOfMemory() {
+    metrics.countLimited("call_refused");
+    return MeshResponse.withoutAnswer(
+        Outcome.REFUSED, Reason.FULL, OUT_OF_MEMORY_RETRY_MS, gateway.load());
+  }
+
   private MeshCall afterTransit(InboundConnection connection, MeshCall call, long sentMs) {
     int transitMs = transitMs(connection, sentMs);
     if (transitMs > LATE_CALL_MS) {
@@ -272,12 +290,18 @@
   }
 
   private void submit(InboundConnection connection, long callNumber, MeshCall call) {
+    int bodyBytes = call.body().length;
+    if (!reserve(bodyBytes)) {
+      connection.responses.write(callNumber, outOfMemory());
+      return;
+    }
     boolean[] completed = {false};
     TargetGateway.GatewayCall submitted =
         gateway.submit(
             call,
             response -> {
               completed[0] = true;
+              memory.release(bodyBytes);
               connection.calls.remove(callNumber);
               respond(connection, callNumber, response);
             });
@@ -291,6 +315,12 @@
     connection.responses.write(callNumber, response);
   }
 
+  private boolean reserve(int bodyBytes) {
+    return bodyBytes > MemoryAccount.ORDINARY_BYTES
+        ? memory.reserveOrEvict(bodyBytes)
+        : bodyBytes == 0 || memory.reserveOrdinary(bodyBytes);
+  }
+
   private void onClosed(PeerSocket socket) {
     InboundConnection connection = connections.remove(socket);
     if (connection != null) {
@@ -299,6 +329,7 @@
       connection.offers.values().forEach(bodies::cancel);
       connection.offers.clear();
       new ArrayList<>(connection.calls.values()).forEach(TargetGateway.GatewayCall::cancel);
+      connection.responses.clear();
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.OpenCall;
@@ -40,7 +41,7 @@
   private final Listener listener;
   private final LivenessCheck liveness;
   private final Map<Long, Consumer<MeshResponse>> calls = new HashMap<>();
-  private final ResponseParts responseParts = new ResponseParts(MAX_INCOMPLETE_RESPONSE_BYTES);
+  private final ResponseParts responseParts;
   private final OfferedBodies offeredBodies = new OfferedBodies();
   private NodeRecord node;
   private @Nullable PeerSocket socket;
@@ -79,6 +80,19 @@
       Listener listener,
       DoubleSupplier random,
       TimeSource time) {
+    this(vertx, client, node, sameDomain, listener, MemoryAccount.unlimited(), random, time);
+  }
+
+  PeerLink(
+      Vertx vertx,
+      NetClient client,
+      NodeRecord node,
+      boolean sameDomain,
+      Listener listener,
+      MemoryAccount memory,
+      DoubleSupplier random,
+      TimeSource time) {
+    this.responseParts = new ResponseParts(MAX_INCOMPLETE_RESPONSE_BYTES, memory);
     this.vertx = vertx;
     this.client = client;
     this.node = node;
@@ -174,12 +188,7 @@
       return;
     }
     if (message instanceof PeerMessage.Response response) {
-      MeshResponse complete = responseParts.complete(response);
-      Consumer<MeshResponse> callback = calls.remove(response.callNumber());
-      offeredBodies.remove(response.callNumber());
-      if (callback != null) {
-        callback.accept(complete);
-      }
+      onResponse(response);
     } else if (message instanceof PeerMessage.ResponsePart part) {
       onResponsePart(part);
     } else if (message instanceof PeerMessage.BodyCredit credit) {
@@ -192,11 +201,28 @@
     }
   }
 
+  private void onResponse(PeerMessage.Response response) {
+    long callNumber = response.callNumber();
+    MeshResponse complete = responseParts.complete(response);
+    Consumer<MeshResponse> callback = calls.remove(callNumber);
+    offeredBodies.remove(callNumber);
+    if (callback != null) {
+      callback.accept(complete);
+    }
+  }
+
   private void onResponsePart(PeerMessage.ResponsePart part) {
-    PeerSocket current = socket;
+    long callNumber = part.callNumber();
     // Parts of cancelled calls may still be on their way.
-    if (calls.containsKey(part.callNumber()) && !responseParts.add(part) && current != null) {
-      current.close();
+    if (!calls.containsKey(callNumber) || responseParts.add(part)) {
+      return;
+    }
+    responseParts.remove(callNumber);
+    send(new PeerMessage.Cancel(callNumber));
+    Consumer<MeshResponse> callback = calls.remove(callNumber);
+    if (callback != null) {
+      callback.accept(
+          MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BROKEN, 0, TargetLoad.NONE));
     }
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerNetwork.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.admission.CallRank;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
@@ -51,6 +52,7 @@
   private final StateExchange stateExchange;
   private final RolloutExchange rolloutExchange;
   private final LimitExchange limitExchange;
+  private final MemoryAccount memory;
   private final EventLog log;
   private final NodeMetrics metrics;
   private final TimeSource time;
@@ -80,6 +82,7 @@
       RolloutExchange rolloutExchange,
       LimitExchange limitExchange,
       Predicate<String> evacuated,
+      MemoryAccount memory,
       EventLog log,
       NodeMetrics metrics,
       DoubleSupplier random,
@@ -90,6 +93,7 @@
     this.stateExchange = stateExchange;
     this.rolloutExchange = rolloutExchange;
     this.limitExchange = limitExchange;
+    this.memory = memory;
     this.log = log;
     this.metrics = metrics;
     this.random = random;
@@ -106,7 +110,9 @@
             rolloutExchange,
             limitExchange,
             new LocalHandshake(),
+            memory,
             log,
+            metrics,
             time);
     gateway.setStatusListener(this::onLocalStatusChanged);
     targets = new ConnectedTargets(time, evacuated);
@@ -158,6 +164,7 @@
             node,
             node.domain().equals(self.domain()),
             new LinkListener(),
+            memory,
             random,
             time);
     links.put(node.key(), link);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -10,6 +10,7 @@
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.http.ClientConnection;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.admission.AdmissionQueue;
 import org.acaciapond.mesh.admission.AdmissionResult;
 import org.acaciapond.mesh.admission.CallClass;
@@ -166,12 +167,14 @@
    *
    * @param coldRequestsPerS rate that the service's cold targets tolerate, 0 if any, negative while
    *     it is not known
+   * @param memory account in which the bodies of responses are reserved
    */
   public TargetGateway(
       Vertx vertx,
       SidecarSettings settings,
       CallHeaders headerNames,
       DoubleSupplier coldRequestsPerS,
+      MemoryAccount memory,
       EventLog log,
       NodeMetrics metrics,
       TimeSource time) {
@@ -196,6 +199,7 @@
             settings.target(),
             metrics,
             RECENT_CALL_IDS,
+            memory,
             diagnostics::recordUnexpected,
             time);
     vertx.setPeriodic(CLOSE_EXPIRED_INTERVAL_MS, id -> connections.closeExpired());
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/target/GatewayFixture.java
@@ -8,6 +8,7 @@
 import java.util.function.DoubleSupplier;
 import org.acaciapond.adapter.JsonPlatformCodec;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.platform.SidecarSettings;
 import org.acaciapond.mesh.platform.SocketAddressSetting;
@@ -61,6 +62,7 @@
         settings,
         new JsonPlatformCodec(MAX_STATE_BYTES).headers(),
         coldRequestsPerS,
+        MemoryAccount.unlimited(),
         log,
         metrics,
         TimeSource.system());
