--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/LimitedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/LimitedRequest.java
@@ -15,26 +15,36 @@
   private final ClientAccount account;
   private final Consumer<RequestTokens> onGranted;
   private final IntConsumer onRefused;
+  private final Runnable onClientLeft;
+  private boolean clientLeft;
 
   LimitedRequest(
       HttpExchange exchange,
       AccountLimits limits,
       ClientAccount account,
       Consumer<RequestTokens> onGranted,
-      IntConsumer onRefused) {
+      IntConsumer onRefused,
+      Runnable onClientLeft) {
     this.exchange = exchange;
     this.limits = limits;
     this.account = account;
     this.onGranted = onGranted;
     this.onRefused = onRefused;
+    this.onClientLeft = onClientLeft;
   }
 
   void start(int maxWaitMs) {
+    exchange.onClose(() -> clientLeft = true);
     limits.acquire(account, Math.max(0, maxWaitMs), this);
   }
 
   @Override
   public void granted(long producedNanos) {
+    if (clientLeft) {
+      limits.giveBack(account, producedNanos);
+      onClientLeft.run();
+      return;
+    }
     onGranted.accept(new RequestTokens(limits, account, producedNanos));
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -191,6 +191,10 @@
             retryAfterMs -> {
               waitingForLimit--;
               endOverLimit(exchange, id, route, account, retryAfterMs);
+            },
+            () -> {
+              waitingForLimit--;
+              recordUnrouted(exchange, id, 0, "client_left", "route", route.name());
             })
         .start(clientLeftMs / CLIENT_WAIT_DIVISOR);
   }
