Test a lower limit only if most calls are refused

Change: while calls wait, a missing slot refuses one call after the other, so most calls are refused; a smaller share starts no test. Eight refusals are needed for any conclusion. Calls of routes that make nested calls are overdue after 3 s at the earliest.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
@@ -9,7 +9,7 @@
   // After this time the window ends with fewer calls, which are then no evidence.
   private static final long MAX_LENGTH_NANOS = 5_000_000_000L;
   private static final double MAX_REFUSED_SHARE = 0.1;
-  private static final int MIN_REFUSED = 2;
+  private static final int MIN_REFUSED = 8;
   private static final double MAX_SLOWDOWN = 1.5;
   private static final double MAX_CALM_SLOWDOWN = 1.25;
   private static final double MIN_SATURATION = 0.75;
@@ -79,10 +79,15 @@
     return runningNanos / Math.max(1, nowNanos - startNanos);
   }
 
-  boolean hasRefusals() {
+  private boolean hasRefusals() {
     return refused >= MIN_REFUSED && refused > MAX_REFUSED_SHARE * (answered + refused);
   }
 
+  /** Returns whether most calls were refused. */
+  boolean hasMostlyRefusals() {
+    return hasRefusals() && refused > answered;
+  }
+
   /** Returns whether the refused calls were sent while more calls ran than the answered ones. */
   boolean hasRefusalsAtHighLoad() {
     return hasRefusals()
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RouteBaselines.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RouteBaselines.java
@@ -41,6 +41,10 @@
     }
   }
 
+  boolean isNested(String route) {
+    return nestedRoutes.contains(route);
+  }
+
   /**
    * Adds a service time.
    *
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RunningCalls.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RunningCalls.java
@@ -63,9 +63,10 @@
   /** Returns the time after which a call of a route is overdue. */
   long overdueAfterNanos(String route) {
     double usualUs = baselines.usualUs(route);
-    return usualUs == 0
-        ? UNKNOWN_OVERDUE_NANOS
-        : Math.max(MIN_OVERDUE_NANOS, (long) (OVERDUE_FACTOR * expectedNanos(usualUs)));
+    // Calls that wait for nested ones may take much longer than usual without any fault here.
+    long leastNanos =
+        usualUs == 0 || baselines.isNested(route) ? UNKNOWN_OVERDUE_NANOS : MIN_OVERDUE_NANOS;
+    return Math.max(leastNanos, (long) (OVERDUE_FACTOR * expectedNanos(usualUs)));
   }
 
   /** Returns the shortest time after which one of the overdue calls was overdue. */
