Compare the number of running calls before refusals lower the limit

Change: refusals lower the limit only if the refused calls had been sent at a higher number of running calls than the answered ones, by three standard deviations and one call. Tests of a lower limit remain for slow answers. Calls do not wait beside missing slots, as each of these refuses one call after the other, so the test was not needed for refusals.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
@@ -14,6 +14,7 @@
   private static final double MAX_CALM_SLOWDOWN = 1.25;
   private static final double MIN_SATURATION = 0.75;
   private static final double MIN_RUNNING_DIFFERENCE = 1;
+  private static final double MIN_DEVIATIONS = 3;
 
   private final long startNanos;
   private long integratedNanos;
@@ -22,6 +23,7 @@
   private int answeredRunning;
   private int refused;
   private int refusedRunning;
+  private double runningSquares;
   private int compared;
   private double slowdownSum;
   private double usualWorkUs;
@@ -45,6 +47,7 @@
   void addAnswer(PacedCall call, double serviceUs, double slowdown) {
     answered++;
     answeredRunning += call.runningAtSend();
+    runningSquares += (double) call.runningAtSend() * call.runningAtSend();
     if (slowdown > 0) {
       compared++;
       slowdownSum += slowdown;
@@ -58,6 +61,7 @@
   void addRefusal(PacedCall call) {
     refused++;
     refusedRunning += call.runningAtSend();
+    runningSquares += (double) call.runningAtSend() * call.runningAtSend();
   }
 
   boolean isOver(int limit, long nowNanos) {
@@ -83,16 +87,23 @@
     return refused >= MIN_REFUSED && refused > MAX_REFUSED_SHARE * (answered + refused);
   }
 
-  /** Returns whether most calls were refused. */
-  boolean hasMostlyRefusals() {
-    return hasRefusals() && refused > answered;
+  /**
+   * Returns whether the refused calls were sent while more calls ran than the answered ones, by
+   * more than chance explains.
+   */
+  boolean hasRefusalsAtHighLoad() {
+    if (!hasRefusals() || answered == 0) {
+      return false;
+    }
+    double difference = meanRefusedRunning() - (double) answeredRunning / answered;
+    double deviation = runningDeviation() * Math.sqrt(1.0 / refused + 1.0 / answered);
+    return difference >= Math.max(MIN_RUNNING_DIFFERENCE, MIN_DEVIATIONS * deviation);
   }
 
-  /** Returns whether the refused calls were sent while more calls ran than the answered ones. */
-  boolean hasRefusalsAtHighLoad() {
-    return hasRefusals()
-        && answered > 0
-        && meanRefusedRunning() - (double) answeredRunning / answered >= MIN_RUNNING_DIFFERENCE;
+  private double runningDeviation() {
+    double count = answered + refused;
+    double mean = (answeredRunning + refusedRunning) / count;
+    return Math.sqrt(Math.max(0, runningSquares / count - mean * mean));
   }
 
   /** Returns the mean number of calls that ran when calls that were refused had been sent. */
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/OverloadLimit.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/OverloadLimit.java
@@ -6,9 +6,9 @@
  *
  * <ul>
  *   <li>calls that were refused had been sent while more calls ran than those that were answered;
- *   <li>or most calls are refused, or they are slow at a higher number than when they were not
- *       slow, while all calls that the target may get are running. Then a lower limit is tested,
- *       and kept if the target does as much work with it as before.
+ *   <li>or calls are slow at a higher number than when they were not slow, while all calls that the
+ *       target may get are running. Then a lower limit is tested, and kept if the target does as
+ *       much work with it as before.
  * </ul>
  *
  * <p>After a test that failed, the limit does not fall for some time. Otherwise it rises by one
@@ -87,12 +87,10 @@
     }
   }
 
-  // While calls wait, each slot that the target does not have refuses one call after the other, so
-  // that most calls are refused. A smaller share does not depend on the number of calls.
   private boolean isSuspect(LoadWindow window, long nowNanos) {
-    boolean slowAtMoreCalls =
-        window.isSlow() && window.meanRunning(nowNanos) > CALM_TOLERANCE * calmRunning;
-    return window.isSaturated(limit, nowNanos) && (window.hasMostlyRefusals() || slowAtMoreCalls);
+    return window.isSlow()
+        && window.isSaturated(limit, nowNanos)
+        && window.meanRunning(nowNanos) > CALM_TOLERANCE * calmRunning;
   }
 
   private void recordCalm(LoadWindow window, long nowNanos) {
