--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/target/TargetLifecycleTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TargetLifecycleTest {
 
@@ -47,6 +49,14 @@
     assertEquals(TargetPhase.READY, lifecycle.phase());
   }
 
+  @ParameterizedTest(name = "cold for {0} ms, then {1} ms")
+  @CsvSource({"0, 3000, true", "500, 3000, true", "3000, 2000, false", "500, 0, true"})
+  void targetThatBecomesColdOrWarmChangesItsStatus(int coldMs, int nextColdMs, boolean changed) {
+    lifecycle.accept(new CheckIn("a", 100, 1, "s", "v1", 9, false, coldMs));
+    assertEquals(
+        changed, lifecycle.accept(new CheckIn("a", 100, 2, "s", "v1", 9, false, nextColdMs)));
+  }
+
   @Test
   void deregistrationOfOlderLifetimeDoesNotEndNewOne() {
     lifecycle.accept(checkIn("a", 300, 1, false));
