--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/LoadWindow.java
@@ -9,11 +9,12 @@
   // After this time the window ends with fewer calls, which are then no evidence.
   private static final long MAX_LENGTH_NANOS = 5_000_000_000L;
   private static final double MAX_REFUSED_SHARE = 0.1;
-  private static final int MIN_REFUSED = 2;
+  private static final int MIN_REFUSED = 8;
   private static final double MAX_SLOWDOWN = 1.5;
   private static final double MAX_CALM_SLOWDOWN = 1.25;
   private static final double MIN_SATURATION = 0.75;
   private static final double MIN_RUNNING_DIFFERENCE = 1;
+  private static final double MIN_DEVIATIONS = 3;
 
   private final long startNanos;
   private long integratedNanos;
@@ -22,6 +23,7 @@
   private int answeredRunning;
   private int refused;
   private int refusedRunning;
+  private double runningSquares;
   private int compared;
   private double slowdownSum;
   private double usualWorkUs;
@@ -45,6 +47,7 @@
   void addAnswer(PacedCall call, double serviceUs, double slowdown) {
     answered++;
     answeredRunning += call.runningAtSend();
+    runningSquares += (double) call.runningAtSend() * call.runningAtSend();
     if (slowdown > 0) {
       compared++;
       slowdownSum += slowdown;
@@ -58,6 +61,7 @@
   void addRefusal(PacedCall call) {
     refused++;
     refusedRunning += call.runningAtSend();
+    runningSquares += (double) call.runningAtSend() * call.runningAtSend();
   }
 
   boolean isOver(int limit, long nowNanos) {
@@ -79,15 +83,27 @@
     return runningNanos / Math.max(1, nowNanos - startNanos);
   }
 
-  boolean hasRefusals() {
+  private boolean hasRefusals() {
     return refused >= MIN_REFUSED && refused > MAX_REFUSED_SHARE * (answered + refused);
   }
 
-  /** Returns whether the refused calls were sent while more calls ran than the answered ones. */
+  /**
+   * Returns whether the refused calls were sent while more calls ran than the answered ones, by
+   * more than chance explains.
+   */
   boolean hasRefusalsAtHighLoad() {
-    return hasRefusals()
-        && answered > 0
-        && meanRefusedRunning() - (double) answeredRunning / answered >= MIN_RUNNING_DIFFERENCE;
+    if (!hasRefusals() || answered == 0) {
+      return false;
+    }
+    double difference = meanRefusedRunning() - (double) answeredRunning / answered;
+    double deviation = runningDeviation() * Math.sqrt(1.0 / refused + 1.0 / answered);
+    return difference >= Math.max(MIN_RUNNING_DIFFERENCE, MIN_DEVIATIONS * deviation);
+  }
+
+  private double runningDeviation() {
+    double count = answered + refused;
+    double mean = (answeredRunning + refusedRunning) / count;
+    return Math.sqrt(Math.max(0, runningSquares / count - mean * mean));
   }
 
   /** Returns the mean number of calls that ran when calls that were refused had been sent. */
