--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
@@ -6,6 +6,7 @@
 /** Time left for a request until its deadline and until its latency objective. */
 final class RequestTimes {
 
+  private static final double MIN_SERVICE_TIMES_LEFT = 3;
   private static final long NANOS_PER_MS = 1_000_000L;
 
   private final TimeSource time;
@@ -17,16 +18,24 @@
    * Creates the times of a request.
    *
    * @param firstReceivedNanos when the first try of the request was received, if its client came
-   *     back after a refusal; the objective counts from then unless it has passed
+   *     back after a refusal. The objective counts from then if it can still be met; the request
+   *     would otherwise go before new ones and make them late as well.
+   * @param serviceUs mean service time of the route, 0 if unknown
    */
   RequestTimes(
-      TimeSource time, long receivedNanos, long firstReceivedNanos, int limitMs, Route route) {
+      TimeSource time,
+      long receivedNanos,
+      long firstReceivedNanos,
+      int limitMs,
+      Route route,
+      double serviceUs) {
     this.time = time;
     this.receivedNanos = receivedNanos;
     this.limitMs = limitMs;
     int fullMs = route.objectiveMs() > 0 ? route.objectiveMs() : limitMs;
     int leftMs = fullMs - (int) ((receivedNanos - firstReceivedNanos) / NANOS_PER_MS);
-    this.objectiveMs = Math.min(limitMs, leftMs > 0 ? leftMs : fullMs);
+    this.objectiveMs =
+        Math.min(limitMs, leftMs * 1_000.0 > MIN_SERVICE_TIMES_LEFT * serviceUs ? leftMs : fullMs);
   }
 
   int limitMs() {
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -106,7 +106,12 @@
         firstReceivedNanos == null ? exchange.receivedNanos() : firstReceivedNanos;
     this.times =
         new RequestTimes(
-            router.time, exchange.receivedNanos(), this.firstReceivedNanos, limitMs, route);
+            router.time,
+            exchange.receivedNanos(),
+            this.firstReceivedNanos,
+            limitMs,
+            route,
+            router.latencies.meanServiceUs(route.name()));
     this.draw = draw;
     this.parent = parent;
     this.rank =
