Share a target between the client accounts of one rank

Within a rank, calls were ordered by their objective alone, so that an account which sends many times its usual filled the queue and the others were refused as often as it. A call of an account that is ahead of its fair share now goes behind the others of its rank by the time that it is ahead (after start-time fair queueing), at most one second. Accounts that are admitted less than half as often as all are not delayed. Calls without an account are ordered as before.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -13,7 +13,8 @@
 /**
  * Admission queue of one target. At most as many calls run as the target has slots, and a call is
  * queued only if its estimated wait is within {@link WaitLimit}. Queued calls are served by rank,
- * then by their latency objective, then in order of arrival. Routes whose nested calls wait for
+ * then by their latency objective, then in order of arrival. Accounts that are ahead of their share
+ * go behind others of their rank, see {@link AccountShares}. Routes whose nested calls wait for
  * another service get fewer slots, see {@link NestedCallLimit}.
  *
  * @param <T> type of calls
@@ -25,13 +26,14 @@
 
   private static final Comparator<QueuedCall<?>> ORDER =
       Comparator.<QueuedCall<?>>comparingInt(queued -> queued.callClass.rank())
-          .thenComparingLong(queued -> queued.callClass.objectiveAtNanos())
+          .thenComparingLong(queued -> queued.orderNanos)
           .thenComparingLong(queued -> queued.arrivalNumber);
 
   private final ServiceTimes serviceTimes;
   private final TreeSet<QueuedCall<T>> queue = new TreeSet<>(ORDER);
   private final Map<String, Integer> runningByRoute = new HashMap<>();
   private final Map<String, NestedCallLimit> nestedCallLimits = new HashMap<>();
+  private final AccountShares shares = new AccountShares();
   private int slots;
   private int running;
   private long nextArrivalNumber;
@@ -43,12 +45,20 @@
     final CallClass callClass;
     final long arrivalNumber;
     final double serviceUs;
-
-    QueuedCall(@Nullable T call, CallClass callClass, long arrivalNumber, double serviceUs) {
+    // Latency objective, later if the account of the call is ahead of its share.
+    final long orderNanos;
+
+    QueuedCall(
+        @Nullable T call,
+        CallClass callClass,
+        long arrivalNumber,
+        double serviceUs,
+        double delayUs) {
       this.call = call;
       this.callClass = callClass;
       this.arrivalNumber = arrivalNumber;
       this.serviceUs = serviceUs;
+      this.orderNanos = callClass.objectiveAtNanos() + (long) (delayUs * 1_000);
     }
   }
 
@@ -97,23 +107,27 @@
     }
     double serviceUs = serviceTimes.expectedUs(callClass.route());
     return refusalOf(
-        new QueuedCall<>(null, callClass, nextArrivalNumber, serviceUs), routeLimited, nowNanos);
+        new QueuedCall<>(null, callClass, nextArrivalNumber, serviceUs, 0), routeLimited, nowNanos);
   }
 
   /** Runs, queues or refuses a call. */
   public AdmissionResult<T> offer(T call, CallClass callClass, long nowNanos) {
     double serviceUs = serviceTimes.expectedUs(callClass.route());
+    double delayUs = shares.offer(callClass.account(), serviceUs, slots, nowNanos);
     boolean routeLimited = isRouteLimited(callClass.route(), nowNanos);
     if (running < slots && !routeLimited) {
+      shares.recordAdmitted(callClass.account(), serviceUs);
       start(callClass.route());
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
-    QueuedCall<T> queued = new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs);
+    QueuedCall<T> queued =
+        new QueuedCall<>(call, callClass, nextArrivalNumber++, serviceUs, delayUs);
     OptionalInt refusal = refusalOf(queued, routeLimited, nowNanos);
     if (refusal.isPresent()) {
       return new AdmissionResult<>(AdmissionResult.Decision.REFUSE, refusal.getAsInt(), List.of());
     }
     queue.add(queued);
+    shares.recordAdmitted(callClass.account(), serviceUs);
     updateUrgentQueued(queued, 1);
     return new AdmissionResult<>(
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
@@ -178,6 +192,11 @@
     urgentQueued += CallRank.isUrgent(queued.callClass.rank()) ? change : 0;
   }
 
+  private void recordDropped(QueuedCall<T> queued) {
+    updateUrgentQueued(queued, -1);
+    shares.recordDropped(queued.callClass.account(), queued.serviceUs);
+  }
+
   // Work until the first slot is free, summed over all slots: with all of them taken, the first one
   // becomes free after the mean service time divided by the number of slots.
   private double firstSlotWorkUs() {
@@ -223,7 +242,7 @@
       boolean missesDeadline = endUs > (queued.callClass.deadlineNanos() - nowNanos) / 1000.0;
       if (missesDeadline && ORDER.compare(queued, added) > 0) {
         each.remove();
-        updateUrgentQueued(queued, -1);
+        recordDropped(queued);
         evicted.add(queued.call);
       } else {
         aheadUs += queued.serviceUs;
@@ -258,6 +277,7 @@
       each.remove();
       updateUrgentQueued(next, -1);
       if (late) {
+        shares.recordDropped(next.callClass.account(), next.serviceUs);
         refused.add(next.call);
       } else {
         start(next.callClass.route());
@@ -273,7 +293,7 @@
         queued -> {
           boolean found = queued.call == call;
           if (found) {
-            updateUrgentQueued(queued, -1);
+            recordDropped(queued);
           }
           return found;
         });
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/CallClass.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/CallClass.java
@@ -8,5 +8,13 @@
  * @param objectiveAtNanos monotonic time of the latency objective, after which an answer has less
  *     value
  * @param deadlineNanos monotonic time after which an answer has no value
+ * @param account name of the client account; empty if the call has none
  */
-public record CallClass(String route, int rank, long objectiveAtNanos, long deadlineNanos) {}
+public record CallClass(
+    String route, int rank, long objectiveAtNanos, long deadlineNanos, String account) {
+
+  /** Creates the properties of a call without an account. */
+  public CallClass(String route, int rank, long objectiveAtNanos, long deadlineNanos) {
+    this(route, rank, objectiveAtNanos, deadlineNanos, "");
+  }
+}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetGateway.java
@@ -343,12 +343,16 @@
 
   /** Returns the properties by which a call that arrives now is admitted. */
   public CallClass callClass(MeshCall call) {
-    long nowNanos = time.nanoTime();
+    return callClass(call, time.nanoTime());
+  }
+
+  private static CallClass callClass(MeshCall call, long nowNanos) {
     return new CallClass(
         call.route(),
         call.rank(),
         nowNanos + call.objectiveLeftMs() * 1_000_000L,
-        nowNanos + call.leftMs() * 1_000_000L);
+        nowNanos + call.leftMs() * 1_000_000L,
+        call.account());
   }
 
   /** Returns the latest time at which it is worth starting a call that arrives now. */
@@ -379,12 +383,7 @@
       gatewayCall.complete(refusal(Reason.EXPIRED, 0));
       return gatewayCall;
     }
-    CallClass callClass =
-        new CallClass(
-            call.route(),
-            call.rank(),
-            nowNanos + call.objectiveLeftMs() * 1_000_000L,
-            deadlineNanos);
+    CallClass callClass = callClass(call, nowNanos);
     gatewayCall.latestStartNanos = queue.latestStartNanos(callClass);
     AdmissionResult<GatewayCall> result = queue.offer(gatewayCall, callClass, nowNanos);
     for (GatewayCall evicted : result.evicted()) {
