--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/peer/PeerCodecTest.java
@@ -40,6 +40,7 @@
 
   @Test
   void messagesAreDecodedAsEncoded() {
+    assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true, true));
     assertRoundTrip(new PeerMessage.Hello(NODE, 7, true, 12, true));
     assertRoundTrip(
         new PeerMessage.Status(
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/Crowd.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/Crowd.java
@@ -13,6 +13,7 @@
   private static final int SMALL_CHUNK_BYTES = 8;
   private static final int PIPELINED_BODY_BYTES = 1 << 20;
   private static final int PIPELINED_REQUESTS = 48;
+  private static final int SHORT_HEADERS = 3_200;
   private static final int PIECE_BYTES = 4 << 10;
   private static final String BLOCK = "x".repeat(BLOCK_BYTES);
   private static final String HEAD =
@@ -69,6 +70,23 @@
         4, RequestScript.of("", request, PIPELINED_REQUESTS, ""), false, true, BLOCK_BYTES);
   }
 
+  /** 8 clients that send 48 requests with 16 KB of very short headers each to a silent service. */
+  static Crowd manyHeaders() {
+    String request =
+        "GET /slow/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: crowd\r\n"
+            + "a:b\r\n".repeat(SHORT_HEADERS)
+            + "\r\n";
+    return new Crowd(
+        8, RequestScript.of("", request, PIPELINED_REQUESTS, ""), false, true, BLOCK_BYTES);
+  }
+
+  /** 200 clients that send all but the end of a head with 16 KB of very short headers. */
+  static Crowd incompleteHeads() {
+    String start = "GET /slow/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: crowd\r\n";
+    return new Crowd(
+        200, RequestScript.of(start, "a:b\r\n", SHORT_HEADERS, "\r\n"), true, true, BLOCK_BYTES);
+  }
+
   /** 32 clients that request 6 MB each and read nothing of it. */
   static Crowd slowReaders() {
     String request = "GET /large/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: crowd\r\n\r\n";
