--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/InboundPeers.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.acaciapond.common.lifecycle.ManagedService;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.http.SocketServer;
 import org.acaciapond.mesh.call.MeshCall;
@@ -290,8 +291,8 @@
   }
 
   private void submit(InboundConnection connection, long callNumber, MeshCall call) {
-    int bodyBytes = call.body().length;
-    if (!reserve(bodyBytes)) {
+    long heldBytes = call.body().length + HttpMessage.heapBytes(call.headers());
+    if (!reserve(heldBytes)) {
       connection.responses.write(callNumber, outOfMemory());
       return;
     }
@@ -301,7 +302,7 @@
             call,
             response -> {
               completed[0] = true;
-              memory.release(bodyBytes);
+              memory.release(heldBytes);
               connection.calls.remove(callNumber);
               respond(connection, callNumber, response);
             });
@@ -315,10 +316,10 @@
     connection.responses.write(callNumber, response);
   }
 
-  private boolean reserve(int bodyBytes) {
-    return bodyBytes > MemoryAccount.ORDINARY_BYTES
-        ? memory.reserveOrEvict(bodyBytes)
-        : bodyBytes == 0 || memory.reserveOrdinary(bodyBytes);
+  private boolean reserve(long bytes) {
+    return bytes > MemoryAccount.ORDINARY_BYTES
+        ? memory.reserveOrEvict(bytes)
+        : memory.reserveOrdinary(bytes);
   }
 
   private void onClosed(PeerSocket socket) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/HostileClientsTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/HostileClientsTest.java
@@ -115,6 +115,17 @@
     play(Crowd.pipelinedBodies());
   }
 
+  @Test
+  void manyHeaders() throws Exception {
+    slow.setProcessingMs(SILENT_MS);
+    play(Crowd.manyHeaders());
+  }
+
+  @Test
+  void incompleteHeads() throws Exception {
+    play(Crowd.incompleteHeads());
+  }
+
   @Test
   void slowReaders() throws Exception {
     String body = "x".repeat(LARGE_RESPONSE_BYTES);
