Treat a response with a status outside 200 to 599 as invalid

A target in trouble answered with the status 000 and the client got it: the connection to the target accepted any number, the router counted all below 300 as a success, and the stand-alone node forwarded it. A 101, which nobody asked for, left the request open until its deadline.

ClientConnection ends such a response as a bad one, TargetExchange classifies it as invalid, a peer's answer with such a status counts as unknown, and the stand-alone node and the client of the platform's services do likewise. A 1xx other than 101 is skipped; if it is the last response, there was none. Requests that may be repeated go to another target, others end with 502.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -299,7 +298,13 @@
       close();
       return;
     }
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean informational = HttpStatus.isInformational(received.status());
+    if (!informational && !HttpStatus.isFinal(received.status())) {
+      receivedStatus = received.status();
+      fail(true, "invalid status " + received.status());
+      close();
+      return;
+    }
     boolean expected = sent.acceptsResponse().test(received.headers());
     if (!informational && !expected && !trySkip(response, received)) {
       return;
--- a/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/ClientConnectionTest.java
@@ -122,6 +122,24 @@
     assertEquals(new End("ok", true), exchange(response("mine", "ok"), false, false));
   }
 
+  /** Guards against a status that is none of HTTP and reaches the client as a response. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "099", "600", "999", "1000", "101"})
+  void responseWithInvalidStatusIsBad(String status) throws Exception {
+    String valid = response("mine", "ok");
+    assertEquals(
+        new End("bad", false), exchange(valid.replace("200 OK", status + " X"), false, false));
+  }
+
+  /** Guards against an informational response that is taken for the final one. */
+  @Test
+  void informationalResponseAloneIsNoResponse() throws Exception {
+    String informational = "HTTP/1.1 103 Early Hints\r\nId: mine\r\n\r\n";
+    assertEquals(new End("gone", false), exchange(informational, true, false));
+    assertEquals(
+        new End("ok", true), exchange(informational + response("mine", "ok"), false, false));
+  }
+
   @Test
   void lateResponseIsSkippedAndConnectionNotReused() throws Exception {
     String both = response("other", "stray") + response("mine", "ok");
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/OutboundCall.java
@@ -161,6 +161,9 @@
   private static AttemptResult responseResultOf(HttpClientResponse response) {
     String outcome = response.getHeader(MeshHeaders.OUTCOME);
     int status = response.statusCode();
+    if (!TargetResponses.isFinalStatus(status)) {
+      return AttemptResult.CONNECTION_LOST;
+    }
     if (outcome == null) {
       return status >= SERVER_ERROR ? AttemptResult.TARGET_ERROR : AttemptResult.ANSWERED;
     }
--- a/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetResponses.java
+++ b/acaciapond-node/src/main/java/org/acaciapond/node/proxy/TargetResponses.java
@@ -21,6 +21,9 @@
 
   private static final Logger LOG = LogManager.getLogger(TargetResponses.class);
 
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int LAST_FINAL_STATUS = 599;
+
   /** Status line within another line, left by a response that was cut within its head. */
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]( [0-9]{3}|$)");
 
@@ -42,7 +45,7 @@
   }
 
   /**
-   * Returns whether a response belongs to its request.
+   * Returns whether a response is valid and belongs to its request.
    *
    * @param exchangeId id that the request had
    * @param reusable whether the connection of the request may be used again
@@ -53,6 +56,9 @@
       boolean reusable,
       HttpClientResponse response) {
     useTarget(announced);
+    if (!isFinalStatus(response.statusCode())) {
+      return false;
+    }
     List<String> ids = response.headers().getAll(MeshHeaders.EXCHANGE_ID);
     if (ids.isEmpty()) {
       onIdOmitted();
@@ -79,6 +85,11 @@
     }
   }
 
+  /** Returns whether a response with this status can be the response to a request. */
+  static boolean isFinalStatus(int status) {
+    return status >= FIRST_FINAL_STATUS && status <= LAST_FINAL_STATUS;
+  }
+
   private static boolean isJoined(HttpClientResponse response) {
     if (STATUS_LINE.matcher(response.statusMessage()).find()) {
       return true;
--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
@@ -90,7 +90,7 @@
     String path = request.split(" ")[1];
     Matcher id = EXCHANGE_ID.matcher(request);
     return "HTTP/1.1 "
-        + (path.endsWith("fail") ? "500 Failed" : "200 OK")
+        + statusOf(path)
         + "\r\nContent-Type: text/plain\r\n"
         + (echoes && id.find() ? id.group(1) : "")
         + "Content-Length: "
@@ -99,6 +99,13 @@
         + path;
   }
 
+  private static String statusOf(String path) {
+    if (path.startsWith("/safe/status/")) {
+      return path.substring("/safe/status/".length()) + " X";
+    }
+    return path.endsWith("fail") ? "500 Failed" : "200 OK";
+  }
+
   private ProxyFixture.Response call(String path) {
     return mesh.call(HttpMethod.GET, path, NO_BODY);
   }
@@ -130,6 +137,13 @@
     assertNotEquals(0, mesh.counters.mismatchedResponses());
   }
 
+  /** Guards against a status that is none of HTTP and reaches the caller as a response. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "101"})
+  void responseWithInvalidStatusIsNotForwarded(String status) {
+    assertEquals(502, call("/safe/status/" + status).status());
+  }
+
   /** A copy that is cut within its head joins with the head of the next response. */
   @ParameterizedTest
   @ValueSource(
--- a/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ResilientPlatformClient.java
+++ b/acaciapond-platform-client/src/main/java/org/acaciapond/platform/client/ResilientPlatformClient.java
@@ -33,6 +33,8 @@
   private static final int NOT_FOUND = 404;
   private static final int PRECONDITION_FAILED = 412;
   private static final int TOO_MANY_REQUESTS = 429;
+  // A lower status is none of a response; the request may have been processed.
+  private static final int FIRST_FINAL = 200;
   private static final int FIRST_SERVER_ERROR = 500;
 
   /**
@@ -201,7 +203,9 @@
 
   private Uni<PlatformResponse> onOutcome(
       Call call, @Nullable PlatformResponse response, @Nullable Throwable error) {
-    if (response == null || response.status() >= FIRST_SERVER_ERROR) {
+    if (response == null
+        || response.status() < FIRST_FINAL
+        || response.status() >= FIRST_SERVER_ERROR) {
       breaker.onFailure();
       call.uncertain = true;
       return retry(call, 0, response == null ? "no answer" : "status " + response.status(), error);
--- a/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/RepeatedResponseTest.java
+++ b/acaciapond-platform-client/src/test/java/org/acaciapond/platform/client/RepeatedResponseTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a copy of an earlier response that is taken for the response to the next request.
@@ -103,6 +105,14 @@
         WriteResult.Outcome.NOT_APPLIED, await(client.writeRow("head", 1, VALUE)).outcome());
   }
 
+  /** Guards against a write that is taken for applied or not though its status is invalid. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000 X", "600 X"})
+  void outcomeOfWriteWithInvalidStatusIsUnknown(String status) {
+    writeHead = status + "\r\nContent-Length: 0";
+    assertEquals(WriteResult.Outcome.UNKNOWN, await(client.writeRow("head", 1, VALUE)).outcome());
+  }
+
   @Test
   void objectIsNotConfirmedByTheCopyOfTheResponseToAnotherObject() {
     writeHead = "201 Created\r\nContent-Length: 0";
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpStatus;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
@@ -156,7 +157,7 @@
       return;
     }
     if (message instanceof PeerMessage.Response response) {
-      MeshResponse complete = responseParts.complete(response);
+      MeshResponse complete = requireValidStatus(responseParts.complete(response));
       Consumer<MeshResponse> callback = calls.remove(response.callNumber());
       if (callback != null) {
         callback.accept(complete);
@@ -168,6 +169,13 @@
     }
   }
 
+  // Nodes of earlier releases pass on a status of their target that is none of HTTP.
+  private static MeshResponse requireValidStatus(MeshResponse response) {
+    return response.outcome() != Outcome.ANSWERED || HttpStatus.isFinal(response.status())
+        ? response
+        : MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, response.load());
+  }
+
   private void onResponsePart(PeerMessage.ResponsePart part) {
     PeerSocket current = socket;
     // Parts of cancelled calls may still be on their way.
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/target/TargetExchange.java
@@ -5,6 +5,7 @@
 import org.acaciapond.http.ClientRequest;
 import org.acaciapond.http.HttpMessage;
 import org.acaciapond.http.HttpResponse;
+import org.acaciapond.http.HttpStatus;
 import org.acaciapond.http.ResponseHead;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
@@ -29,8 +30,8 @@
     /** The target states that it did not run the request. */
     NOT_RUN,
     /**
-     * Not the target's own response: an unsigned success, a body with a content encoding, or a head
-     * with several signatures or ids.
+     * Not the target's own response: an unsigned success, a body with a content encoding, a status
+     * that is none of HTTP, or a head with several signatures or ids.
      */
     INVALID
   }
@@ -100,6 +101,9 @@
         || response.status() == STATUS_MISDIRECTED_REQUEST) {
       return ResponseKind.NOT_RUN;
     }
+    if (!HttpStatus.isFinal(response.status())) {
+      return ResponseKind.INVALID;
+    }
     boolean encoded = HttpMessage.header(headers, "content-encoding") != null;
     return encoded || (response.status() < 300 && signatures == 0)
         ? ResponseKind.INVALID
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/peer/PeerLinkTest.java
@@ -24,6 +24,7 @@
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
 import org.acaciapond.mesh.call.Outcome;
+import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.peer.NodeRecord;
 import org.acaciapond.mesh.peer.PeerCodec;
 import org.acaciapond.mesh.peer.PeerMessage;
@@ -34,6 +35,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests a link to a node that is a plain socket, so that the test decides when it reads. */
 @Timeout(40)
@@ -157,6 +160,30 @@
     assertNull(received.poll(SILENT_MS, TimeUnit.MILLISECONDS));
   }
 
+  /** Guards against a node of an earlier release that passes on an invalid status of its target. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 99, 101, 600})
+  void answerWithInvalidStatusIsUnknown(int status) throws Exception {
+    CompletableFuture<MeshResponse> response = new CompletableFuture<>();
+    runOnLoop(() -> link.call(call(List.of(), new byte[0]), response::complete));
+    write(
+        new PeerMessage.Response(
+            0,
+            new MeshResponse(
+                Outcome.ANSWERED,
+                Reason.NONE,
+                0,
+                status,
+                List.of(),
+                new byte[0],
+                1,
+                TargetLoad.NONE)));
+
+    MeshResponse received = response.get(WAIT_MS, TimeUnit.MILLISECONDS);
+    assertEquals(Outcome.UNKNOWN, received.outcome());
+    assertEquals(Reason.BAD_ANSWER, received.reason());
+  }
+
   /** The dictionary of the sender is ahead of that of the receiver after such a message. */
   @Test
   void connectionIsClosedAfterMessageThatCannotBeEncoded() throws Exception {
