--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/peer/PeerLink.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.acaciapond.common.time.TimeSource;
+import org.acaciapond.http.HttpStatus;
 import org.acaciapond.http.MemoryAccount;
 import org.acaciapond.mesh.call.MeshCall;
 import org.acaciapond.mesh.call.MeshResponse;
@@ -203,7 +204,7 @@
 
   private void onResponse(PeerMessage.Response response) {
     long callNumber = response.callNumber();
-    MeshResponse complete = responseParts.complete(response);
+    MeshResponse complete = requireValidStatus(responseParts.complete(response));
     Consumer<MeshResponse> callback = calls.remove(callNumber);
     offeredBodies.remove(callNumber);
     if (callback != null) {
@@ -211,6 +212,13 @@
     }
   }
 
+  // Nodes of earlier releases pass on a status of their target that is none of HTTP.
+  private static MeshResponse requireValidStatus(MeshResponse response) {
+    return response.outcome() != Outcome.ANSWERED || HttpStatus.isFinal(response.status())
+        ? response
+        : MeshResponse.withoutAnswer(Outcome.UNKNOWN, Reason.BAD_ANSWER, 0, response.load());
+  }
+
   private void onResponsePart(PeerMessage.ResponsePart part) {
     long callNumber = part.callNumber();
     // Parts of cancelled calls may still be on their way.
