Release memory that was reserved for an evicted connection

Cause: a reservation for the next head or body of a connection may end a transfer of the same connection, for example a response that its client does not read. The connection was then closed and its memory released, but the reservation that followed was added to it afterwards and never returned; for a complete head the handler also failed with a null pointer. A client that pipelines requests and reads nothing could use up the account of the process in this way.

Change: after each reservation that may end transfers, the connection and the body check whether they were ended, and return the bytes.

Result: EvictedConnectionTest, 4 cases, fails on the code before in all four (149, 704, 60000 and 18015 bytes stay reserved) and passes now.

--- a/acaciapond-http/src/main/java/org/acaciapond/http/RequestBody.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/RequestBody.java
@@ -87,7 +87,11 @@
   }
 
   private void reserveOrdinary(long bytes) {
-    if (memory.reserveOrdinary(bytes)) {
+    boolean available = memory.reserveOrdinary(bytes);
+    if (!registered) {
+      // The connection of this body was ended to make room.
+      memory.release(available ? bytes : 0);
+    } else if (available) {
       reservedBytes += bytes;
     } else {
       owner.refuseBody();
--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -165,7 +165,13 @@
     if (missing <= 0) {
       return;
     }
-    if (!memory.reserveOrEvict(missing)) {
+    boolean available = memory.reserveOrEvict(missing);
+    if (closing) {
+      // This connection was ended to make room.
+      memory.release(available ? missing : 0);
+      return;
+    }
+    if (!available) {
       refuseForMemory();
       return;
     }
@@ -225,7 +231,7 @@
       reject(400, List.of());
       return;
     }
-    reading =
+    HttpExchange exchange =
         new HttpExchange(
             this,
             request.method().name(),
@@ -233,13 +239,11 @@
             HttpMessage.toList(request.headers()),
             HttpUtil.isKeepAlive(request),
             time.nanoTime());
+    reading = exchange;
     releasePartialHead();
-    long headBytes = HttpMessage.heapBytes(reading.headers());
-    if (!listener.memory().reserveOrdinary(headBytes)) {
-      refuseForMemory();
+    if (!holdHead(exchange)) {
       return;
     }
-    reading.hold(headBytes);
     continueExpected = HttpUtil.is100ContinueExpected(request);
     boolean chunked = HttpUtil.isTransferEncodingChunked(request);
     long announcedBytes = chunked ? 0 : HttpUtil.getContentLength(request, 0L);
@@ -253,6 +257,23 @@
     }
   }
 
+  // Returns false if the request was rejected, or its connection was ended to make room.
+  private boolean holdHead(HttpExchange exchange) {
+    MemoryAccount memory = listener.memory();
+    long bytes = HttpMessage.heapBytes(exchange.headers());
+    boolean available = memory.reserveOrdinary(bytes);
+    if (closing) {
+      memory.release(available ? bytes : 0);
+      return false;
+    }
+    if (!available) {
+      refuseForMemory();
+      return false;
+    }
+    exchange.hold(bytes);
+    return true;
+  }
+
   private void sendContinue() {
     if (continueExpected && reading != null) {
       continueExpected = false;
