--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/AdmissionQueue.java
@@ -14,8 +14,9 @@
  * Admission queue of one target. At most as many calls run as the target has slots, and a call is
  * queued only if its estimated wait is within {@link WaitLimit}. Queued calls are served by rank,
  * then by their latency objective, then in order of arrival. Accounts that are ahead of their share
- * go behind others of their rank, see {@link AccountShares}. Routes whose nested calls wait for
- * another service get fewer slots, see {@link NestedCallLimit}.
+ * go behind others of their rank, see {@link AccountShares}; routes and accounts that hardly get a
+ * slot go first, see {@link StarvationGuard}. Routes whose nested calls wait for another service
+ * get fewer slots, see {@link NestedCallLimit}.
  *
  * @param <T> type of calls
  */
@@ -23,6 +24,7 @@
 
   private static final int MIN_RETRY_AFTER_MS = 20;
   private static final int MAX_LIMITED_ROUTES = 512;
+  private static final int HIGHEST_RANK = CallRank.ofRequest(0);
 
   private static final Comparator<QueuedCall<?>> ORDER =
       Comparator.<QueuedCall<?>>comparingInt(queued -> queued.callClass.rank())
@@ -34,6 +36,8 @@
   private final Map<String, Integer> runningByRoute = new HashMap<>();
   private final Map<String, NestedCallLimit> nestedCallLimits = new HashMap<>();
   private final AccountShares shares = new AccountShares();
+  private final StarvationGuard starvedRoutes = new StarvationGuard();
+  private final StarvationGuard starvedAccounts = new StarvationGuard();
   private int slots;
   private int running;
   private long nextArrivalNumber;
@@ -111,13 +115,16 @@
   }
 
   /** Runs, queues or refuses a call. */
-  public AdmissionResult<T> offer(T call, CallClass callClass, long nowNanos) {
+  public AdmissionResult<T> offer(T call, CallClass offered, long nowNanos) {
+    CallClass callClass = withoutStarvation(offered);
+    starvedRoutes.recordOffered(callClass.route(), nowNanos);
+    starvedAccounts.recordOffered(callClass.account(), nowNanos);
     double serviceUs = serviceTimes.expectedUs(callClass.route());
     double delayUs = shares.offer(callClass.account(), serviceUs, slots, nowNanos);
     boolean routeLimited = isRouteLimited(callClass.route(), nowNanos);
     if (running < slots && !routeLimited) {
       shares.recordAdmitted(callClass.account(), serviceUs);
-      start(callClass.route());
+      start(callClass);
       return new AdmissionResult<>(AdmissionResult.Decision.RUN, 0, List.of());
     }
     QueuedCall<T> queued =
@@ -133,6 +140,14 @@
         AdmissionResult.Decision.WAIT, 0, evictLateCalls(queued, nowNanos));
   }
 
+  // Calls of a route or account that is served much less often than all are the next to run.
+  private CallClass withoutStarvation(CallClass callClass) {
+    boolean starved =
+        starvedRoutes.isStarved(callClass.route())
+            || (!callClass.account().isEmpty() && starvedAccounts.isStarved(callClass.account()));
+    return starved ? callClass.withRank(Math.min(callClass.rank(), HIGHEST_RANK)) : callClass;
+  }
+
   private OptionalInt refusalOf(QueuedCall<T> call, boolean routeLimited, long nowNanos) {
     double waitUs = estimatedWaitUs(queue.headSet(call));
     if (routeLimited) {
@@ -183,9 +198,11 @@
     return ahead * call.serviceUs / Math.max(1, routeLimit(route, nowNanos));
   }
 
-  private void start(String route) {
+  private void start(CallClass callClass) {
     running++;
-    runningByRoute.merge(route, 1, Integer::sum);
+    runningByRoute.merge(callClass.route(), 1, Integer::sum);
+    starvedRoutes.recordStarted(callClass.route());
+    starvedAccounts.recordStarted(callClass.account());
   }
 
   private void updateUrgentQueued(QueuedCall<T> queued, int change) {
@@ -280,7 +297,7 @@
         shares.recordDropped(next.callClass.account(), next.serviceUs);
         refused.add(next.call);
       } else {
-        start(next.callClass.route());
+        start(next.callClass);
         run.add(next.call);
       }
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/CallClass.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/admission/CallClass.java
@@ -17,4 +17,9 @@
   public CallClass(String route, int rank, long objectiveAtNanos, long deadlineNanos) {
     this(route, rank, objectiveAtNanos, deadlineNanos, "");
   }
+
+  /** Returns these properties with another rank. */
+  CallClass withRank(int other) {
+    return new CallClass(route, other, objectiveAtNanos, deadlineNanos, account);
+  }
 }
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/AccountSharesTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/admission/AccountSharesTest.java
@@ -70,7 +70,11 @@
     offered.merge(call.account(), 1, Integer::sum);
     CallClass callClass =
         new CallClass(
-            ROUTE, CallRank.ofRequest(1), (nowMs + 300) * MS, (nowMs + 2_000) * MS, call.account());
+            ROUTE,
+            CallRank.ofRequest(call.account().startsWith("low") ? 2 : 1),
+            (nowMs + 300) * MS,
+            (nowMs + 2_000) * MS,
+            call.account());
     if (queue.offer(call, callClass, nowMs * MS).decision() == AdmissionResult.Decision.RUN) {
       start(call, nowMs, ends);
     }
@@ -123,6 +127,17 @@
     }
   }
 
+  /** Guards against strict priority under which requests of a low priority get nothing. */
+  @Test
+  void accountOfLowPriorityIsServedAtLeastQuarterAsOftenAsAll() {
+    Map<String, Integer> accounts = smallAccounts(18);
+    accounts.put("low", 30);
+    play(accounts, "");
+    double share = servedShare("low");
+    assertTrue(share > 0.25 * overallShare(), share + " of " + overallShare());
+    assertTrue(share < 0.8 * overallShare(), "priority " + share);
+  }
+
   /** Guards against slots that stay empty for clients which left the queue. */
   @Test
   void clientsThatLeaveDoNotTakeTheRoomOfOthers() {
