--- a/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/HttpListener.java
@@ -18,6 +18,8 @@
 
   private static final int CHECK_INTERVAL_MS = 250;
   private static final int EVICTED_DIVISOR = 64;
+  // The system would keep up to some MB for each connection that is not read.
+  private static final int RECEIVE_BUFFER_BYTES = 128 << 10;
 
   /** Listener for the events of an HTTP listener other than requests. */
   public interface Events {
@@ -105,7 +107,7 @@
       Events events,
       TimeSource time) {
     this.vertx = vertx;
-    this.server = new SocketServer(vertx, host, port, this::accept);
+    this.server = new SocketServer(vertx, host, port, RECEIVE_BUFFER_BYTES, this::accept);
     this.limits = limits;
     this.resources = resources;
     this.uploads = new UploadQueue(resources.memory());
--- a/acaciapond-http/src/main/java/org/acaciapond/http/SocketServer.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/SocketServer.java
@@ -15,11 +15,31 @@
   private final Vertx vertx;
   private final String host;
   private final int port;
+  private final int receiveBufferBytes;
   private final Consumer<NetSocketInternal> onSocket;
   private @Nullable NetServer server;
 
   /** Creates a server; it accepts connections after {@link #start()}. */
   public SocketServer(Vertx vertx, String host, int port, Consumer<NetSocketInternal> onSocket) {
+    this(vertx, host, port, NetServerOptions.DEFAULT_RECEIVE_BUFFER_SIZE, onSocket);
+  }
+
+  /**
+   * Creates a server.
+   *
+   * @param vertx event loops
+   * @param host address to listen on
+   * @param port port to listen on, 0 for any
+   * @param receiveBufferBytes bytes that the system keeps for a connection until they are read
+   * @param onSocket receives the connections
+   */
+  SocketServer(
+      Vertx vertx,
+      String host,
+      int port,
+      int receiveBufferBytes,
+      Consumer<NetSocketInternal> onSocket) {
+    this.receiveBufferBytes = receiveBufferBytes;
     this.vertx = vertx;
     this.host = host;
     this.port = port;
@@ -33,7 +53,11 @@
             emitter -> {
               NetServer created =
                   vertx.createNetServer(
-                      new NetServerOptions().setHost(host).setPort(port).setReuseAddress(true));
+                      new NetServerOptions()
+                          .setHost(host)
+                          .setPort(port)
+                          .setReceiveBufferSize(receiveBufferBytes)
+                          .setReuseAddress(true));
               server = created;
               created.connectHandler(socket -> onSocket.accept((NetSocketInternal) socket));
               created.listen().onSuccess(done -> emitter.complete(null)).onFailure(emitter::fail);
--- a/acaciapond-http/src/main/java/org/acaciapond/http/UploadQueue.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/UploadQueue.java
@@ -14,7 +14,7 @@
   // Clients give up a request that is not read within a second.
   private static final long MAX_WAIT_NANOS = 1_000_000_000L;
   // Each waiting connection holds what was read before it was paused.
-  private static final int MAX_WAITING = 64;
+  private static final int MAX_WAITING = 32;
 
   private final MemoryAccount account;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
