Return the token of a repeat that was not sent

Cause: a repeat takes a token of the account before the retry budget is asked. If that refused the repeat, or if the repeat was refused by all targets, the token was neither used nor returned, so an account whose requests failed got less than its limit.

Change: a token for a repeat is taken with its production time, and all unused tokens are returned as of the oldest one. The tokens of a request use an interface of the limit, so that they are tested alone.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -154,18 +155,17 @@
     return !pendingAsks.isEmpty() || collector.isActive();
   }
 
-  /** Takes a token from those that this node holds; returns whether there was one. */
-  public boolean tryTake(String name, long nowNanos) {
+  /**
+   * Takes a token from those that this node holds; returns its production time, or nothing if there
+   * is none.
+   */
+  public OptionalLong tryTake(String name, long nowNanos) {
     LimitState limit = limits.get(name);
     if (limit == null) {
-      return true;
+      return OptionalLong.of(nowNanos);
     }
     limit.update(knownNodes, nowNanos);
-    if (!limit.hasToken()) {
-      return false;
-    }
-    limit.stock.takeOne();
-    return true;
+    return limit.hasToken() ? OptionalLong.of(limit.stock.takeOne()) : OptionalLong.empty();
   }
 
   /** Returns the token of a request that no target has run. */
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
@@ -92,7 +92,7 @@
     limiter.receive("n1", reply, S);
     limiter.receive("n1", reply, S);
     for (int i = 0; i < 3; i++) {
-      granted += limiter.tryTake("a", S) ? 1 : 0;
+      granted += limiter.tryTake("a", S).isPresent() ? 1 : 0;
     }
     assertEquals(2, granted);
   }
@@ -103,18 +103,18 @@
   void nothingIsLeftAfterSuspension() {
     SharedLimiter limiter = limiter("n0", 1);
     limiter.setPolicies(Map.of("a", new TokenPolicy(9, 2 * S)), 0);
-    assertTrue(limiter.tryTake("a", 3 * S));
-    assertTrue(limiter.tryTake("a", 3 * S));
+    assertTrue(limiter.tryTake("a", 3 * S).isPresent());
+    assertTrue(limiter.tryTake("a", 3 * S).isPresent());
     limiter.discardTokens(3 * S);
     limiter.giveBack("a", 2 * S, 3 * S);
-    assertFalse(limiter.tryTake("a", 3 * S));
+    assertFalse(limiter.tryTake("a", 3 * S).isPresent());
   }
 
   // Guards against a process that produces tokens before it knows how many nodes there are.
   @Test
   void nothingIsProducedWhileTheNodesAreUnknown() {
     SharedLimiter limiter = limiter("n0", 0);
-    assertFalse(limiter.tryTake("a", 100 * S));
+    assertFalse(limiter.tryTake("a", 100 * S).isPresent());
   }
 
   // Guards against a suspension that is not noticed, and against a pause that is taken for one.
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/LimitedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/LimitedRequest.java
@@ -1,5 +1,6 @@
 package org.acaciapond.sidecar.call;
 
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.acaciapond.http.HttpExchange;
@@ -45,7 +46,20 @@
       onClientLeft.run();
       return;
     }
-    onGranted.accept(new RequestTokens(limits, account, producedNanos));
+    onGranted.accept(new RequestTokens(new AccountTokens(), producedNanos));
+  }
+
+  /** Tokens of the account. */
+  private final class AccountTokens implements RequestTokens.Source {
+    @Override
+    public OptionalLong tryTake() {
+      return limits.tryTake(account);
+    }
+
+    @Override
+    public void giveBack(long producedNanos) {
+      limits.giveBack(account, producedNanos);
+    }
   }
 
   @Override
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTokens.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTokens.java
@@ -1,7 +1,6 @@
 package org.acaciapond.sidecar.call;
 
-import org.acaciapond.mesh.account.ClientAccount;
-import org.acaciapond.sidecar.limit.AccountLimits;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,57 +10,68 @@
 final class RequestTokens {
 
   /** Tokens of a request without a limit. */
-  static final RequestTokens UNLIMITED = new RequestTokens();
+  static final RequestTokens UNLIMITED = new RequestTokens(null, 0);
 
-  private final @Nullable AccountLimits limits;
-  private final @Nullable ClientAccount account;
-  private final long producedNanos;
+  private final @Nullable Source source;
+  // Production time of the oldest token.
+  private long producedNanos;
   private int unused;
-  private boolean repeated;
 
-  private RequestTokens() {
-    this.limits = null;
-    this.account = null;
-    this.producedNanos = 0;
+  /** Limit from which the tokens of a request are taken. */
+  interface Source {
+    /** Takes a token for a repeat; returns its production time, or nothing if there is none. */
+    OptionalLong tryTake();
+
+    /** Returns a token that no call has used. */
+    void giveBack(long producedNanos);
   }
 
-  RequestTokens(AccountLimits limits, ClientAccount account, long producedNanos) {
-    this.limits = limits;
-    this.account = account;
+  /**
+   * Creates the tokens of a request with one token.
+   *
+   * @param source limit of the account; null if it has none
+   * @param producedNanos production time of the token
+   */
+  RequestTokens(@Nullable Source source, long producedNanos) {
+    this.source = source;
     this.producedNanos = producedNanos;
     this.unused = 1;
   }
 
   /** Returns whether a repeat may be sent; takes a token for it if none is unused. */
   boolean tryTake() {
-    if (limits == null || account == null || unused > 0) {
+    if (source == null || unused > 0) {
       return true;
     }
-    boolean taken = limits.tryTake(account);
-    if (taken) {
-      unused++;
-      repeated = true;
+    OptionalLong taken = source.tryTake();
+    if (taken.isEmpty()) {
+      return false;
+    }
+    unused++;
+    if (taken.getAsLong() - producedNanos < 0) {
+      producedNanos = taken.getAsLong();
     }
-    return taken;
+    return true;
   }
 
   void onSent() {
-    if (limits != null) {
+    if (source != null) {
       unused--;
     }
   }
 
   void onNotRun() {
-    if (limits != null) {
+    if (source != null) {
       unused++;
     }
   }
 
-  /** Returns the token to the limit if no call has used it and no other one was taken. */
+  /** Returns the tokens that no call has used to the limit. */
   void giveBackUnused() {
-    if (limits != null && account != null && unused > 0 && !repeated) {
-      limits.giveBack(account, producedNanos);
-      unused = 0;
+    if (source != null) {
+      for (; unused > 0; unused--) {
+        source.giveBack(producedNanos);
+      }
     }
   }
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/limit/AccountLimits.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/limit/AccountLimits.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.mesh.account.ClientAccount;
@@ -109,8 +110,11 @@
     state.lastNanos = time.nanoTime();
   }
 
-  /** Takes a token for a repeat of a request of an account; returns whether there was one. */
-  public boolean tryTake(ClientAccount account) {
+  /**
+   * Takes a token for a repeat of a request of an account; returns its production time, or nothing
+   * if there is none.
+   */
+  public OptionalLong tryTake(ClientAccount account) {
     return limiter.tryTake(account.name(), update());
   }
 
