Tell clients of very low limits a time without overflow

Cause: at a rate so low that the interval of one node is longer than an int of milliseconds, the time that a refused client is told overflowed and became a minute or less.

Result: the case longIntervalIsToldAsSuch of TokenTransferTest fails for all eight nodes before and passes now.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/AskQueue.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/AskQueue.java
@@ -122,10 +122,12 @@
     queuedRequests -= requests;
     long freeTokens = limit.stock.total() / TokenStock.TOKEN - queuedRequests;
     int granted = (int) Math.max(0, Math.min(requests, freeTokens));
-    long intervalNanos = (long) (1e9 / supply.tokensPerS());
+    long intervalNanos =
+        (long) Math.min(LimitState.MAX_RETRY_AFTER_MS * MS, 1e9 / supply.tokensPerS());
     long queuedNanos = Math.max(0, -freeTokens) * intervalNanos;
     long atNanos = Math.max(returnNanos, nowNanos + queuedNanos) + intervalNanos;
-    int retryAfterMs = (int) Math.max(1, (atNanos - nowNanos + MS - 1) / MS);
+    long exactMs = Math.max(1, (atNanos - nowNanos + MS - 1) / MS);
+    int retryAfterMs = (int) Math.min(LimitState.MAX_RETRY_AFTER_MS, exactMs);
     if (retryAfterMs <= ask.ask().maxWaitMs()) {
       returnNanos = atNanos + Math.max(0, requests - granted - 1) * intervalNanos;
     }
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/LimitState.java
@@ -8,8 +8,10 @@
 /** One limit at one node: the tokens that it holds and the requests that wait for one. */
 final class LimitState {
 
-  private static final int ACCRUALS_PER_LIFETIME = 8;
+  /** Longest time that a refused client is told, one day. */
+  static final int MAX_RETRY_AFTER_MS = 24 * 3_600 * 1_000;
 
+  private static final int ACCRUALS_PER_LIFETIME = 8;
   private static final double MIN_ASKS_PER_S = 500;
   private static final double ASKS_PER_TOKEN = 4;
   private static final double MIN_REFUSAL_S = 0.1;
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -207,7 +207,7 @@
   private static int nextReturnMs(LimitState limit, long nowNanos) {
     long at = Math.max(limit.nextReturnNanos, nowNanos) + Math.max(1, limit.spacingMs) * MS;
     limit.nextReturnNanos = at;
-    return (int) ((at - nowNanos + MS - 1) / MS);
+    return (int) Math.min(LimitState.MAX_RETRY_AFTER_MS, (at - nowNanos + MS - 1) / MS);
   }
 
   private void ask(LimitState limit, long nowNanos) {
@@ -374,7 +374,8 @@
   // Without a reply, the node has room when its own production adds up to a token.
   private void refuseUnanswered(LimitState limit, long nowNanos) {
     limit.update(knownNodes, nowNanos);
-    int ownIntervalMs = (int) (1_000.0 * Math.max(1, knownNodes) / limit.policy().tokensPerS()) + 1;
+    double exactMs = 1_000.0 * Math.max(1, knownNodes) / limit.policy().tokensPerS();
+    int ownIntervalMs = (int) Math.min(LimitState.MAX_RETRY_AFTER_MS, exactMs + 1);
     refuse(limit, ownIntervalMs, ownIntervalMs, nowNanos);
   }
 
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -150,4 +151,34 @@
     stock.expire(nowNanos);
     assertEquals(0, stock.total());
   }
+
+  private static SharedLimiter.Waiter onRefused(IntConsumer action) {
+    return new SharedLimiter.Waiter() {
+      @Override
+      public void granted(long producedNanos) {
+        // Not asserted.
+      }
+
+      @Override
+      public void refused(int retryAfterMs) {
+        action.accept(retryAfterMs);
+      }
+    };
+  }
+
+  // Guards against a request that is told to come back at once to a limit of one request in hours.
+  @ParameterizedTest
+  @ValueSource(strings = {"n0", "n5", "n6", "n7", "n8", "n9", "n10", "n11"})
+  void longIntervalIsToldAsSuch(String self) {
+    SharedLimiter limiter = limiter(self, MANY_NODES);
+    limiter.setPolicies(Map.of("a", new TokenPolicy(1e-7, 2 * S)), 0);
+    List<Integer> told = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      limiter.acquire("a", 100, onRefused(told::add), S);
+    }
+    limiter.tick(2 * S);
+    limiter.acquire("a", 100, onRefused(told::add), 2 * S);
+    assertEquals(4, told.size());
+    assertTrue(told.stream().allMatch(each -> each > 3_600_000), told.toString());
+  }
 }
