Allow limits to change while tokens are discarded

Cause: after a suspension of the host, requests that wait are refused while the limits are iterated. If the next request on the connection of a refused one was the first after a new configuration, it changed the limits within the iteration, which then failed.

Change: the iteration uses a copy.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/limit/SharedLimiter.java
@@ -386,7 +386,8 @@
     limits.values().forEach(limit -> limit.discard(nowNanos));
     pendingAsks.clear();
     collector.discardPulls();
-    for (LimitState limit : limits.values()) {
+    // A request that is refused here may be followed by one that applies new limits.
+    for (LimitState limit : new ArrayList<>(limits.values())) {
       limit.askNumber = -1;
       limit.askedBefore = false;
       if (!limit.waiting.isEmpty()) {
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/limit/TokenTransferTest.java
@@ -181,4 +181,23 @@
     assertEquals(4, told.size());
     assertTrue(told.stream().allMatch(each -> each > 3_600_000), told.toString());
   }
+
+  // Guards against a refusal, upon a suspension of the host, whose handler applies a new
+  // configuration.
+  @ParameterizedTest
+  @ValueSource(strings = {"n0", "n5", "n6", "n7", "n8", "n9", "n10", "n11"})
+  void limitsCanChangeWhileTokensAreDiscarded(String self) {
+    SharedLimiter limiter = new SharedLimiter(self, (to, message) -> sent.add(message), 5);
+    TokenPolicy policy = new TokenPolicy(9, 2 * S);
+    limiter.setPolicies(Map.of("a", policy, "c", policy), 0);
+    limiter.setMembers(List.of("n1"), 2);
+    limiter.acquire(
+        "a",
+        100,
+        onRefused(
+            ms -> limiter.setPolicies(Map.of("a", policy, "b", policy, "c", policy), S / 500)),
+        S / 1_000);
+    limiter.discardTokens(S / 500);
+    assertTrue(limiter.isLimited("c"));
+  }
 }
