Refuse calls of targets for ended requests instead of rejecting them

Cause: a call that a target makes for a request needs no key while that request runs at its node. If it had ended meanwhile, because its client left, a hedged attempt was faster or the node was restarted, the call was taken for a request of a client without a key and rejected with 401, though every configuration allows it.

Change: a request without credentials whose id names a parent that does not run is refused with 503. One with an unknown key is rejected as before, and neither reaches a target.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -178,7 +178,12 @@
     boolean keyNeeded = !route.open() && parent == null;
     Access access = Access.decide(accounts, keyOf(exchange), keyNeeded);
     if (!access.granted()) {
-      endUnauthorized(exchange, id, table.version());
+      if (parentId != null && exchange.header(headerNames.credentials()) == null) {
+        // A target may make calls for a request that has ended, also after a restart of this node.
+        endUnrouted(exchange, id, 503, "parent_ended", "route", route.name());
+      } else {
+        endUnauthorized(exchange, id, table.version());
+      }
       return;
     }
     ClientAccount account = access.account();
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/ClientAccountsTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/ClientAccountsTest.java
@@ -1,6 +1,7 @@
 package org.acaciapond.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -25,10 +26,14 @@
               "\"orders\",3],[\"r3\",\"127.0.0.1\",\"/open/\","
                   + "\"idempotent\",8000,4000,2,\"orders\",3,true]%s");
 
+  // Route of a service without targets.
+  private static final String OTHER_ROUTE =
+      ",[\"r4\",\"127.0.0.1\",\"/other/\",\"idempotent\",8000,4000,1,\"other\",3]";
+
   private final CopyOnWriteArrayList<HttpExchange> arrived = new CopyOnWriteArrayList<>();
 
   private void putAccounts(int version, String rows) {
-    String state = STATE_WITH_ACCOUNTS.formatted(version, "").stripTrailing();
+    String state = STATE_WITH_ACCOUNTS.formatted(version, OTHER_ROUTE).stripTrailing();
     deployment.store.put(
         "op", "config", state.substring(0, state.length() - 1) + ACCOUNTS.formatted(rows));
   }
@@ -105,6 +110,39 @@
     assertEquals(200, statusWithKey(mesh[0], "key-2"));
   }
 
+  // A target may make calls for a request that has ended meanwhile, also at a node that was
+  // restarted. They need no key, so that a rejection for it would not be true.
+  @Test
+  void callOfEndedRequestIsRefusedAndNotRejected() throws Exception {
+    TestMachine[] mesh = startMesh();
+    assertEquals(503, send(mesh[0], "GET", "/views/1", "ended.1").statusCode());
+    HttpRequest withInvalidKey =
+        HttpRequest.newBuilder(
+                request(mesh[0], "GET", "/views/1", "ended.2"), (name, value) -> true)
+            .header("Authorization", "Bearer no")
+            .build();
+    assertEquals(
+        401, client.send(withInvalidKey, HttpResponse.BodyHandlers.discarding()).statusCode());
+    assertEquals(0, arrived.size());
+  }
+
+  // The call is refused as its service has no targets, which tells when to return.
+  @Test
+  void callOfRunningRequestNeedsNoKey() throws Exception {
+    TestMachine[] mesh = startMesh();
+    List<HttpResponse<String>> responses = new CopyOnWriteArrayList<>();
+    mesh[1].target.setResponseFunction(
+        exchange -> {
+          String id = String.valueOf(exchange.header("X-Attempt-Id"));
+          responses.add(send(mesh[1], "GET", "/other/1", id + ".1"));
+          return mesh[1].target.signedResponse(id, "ran");
+        });
+    assertEquals(200, statusWithKey(mesh[0], "key-1"));
+    assertEquals(1, responses.size());
+    assertEquals(503, responses.get(0).statusCode());
+    assertTrue(responses.get(0).headers().firstValue("Retry-After").isPresent());
+  }
+
   private int statusWithKey(TestMachine from, String key) {
     try {
       return sendWith(from, "/views/1", "Authorization", "Bearer " + key).statusCode();
