Take no call of a route without a known service time for overdue

Cause: TargetGatewayExtraBytesTest failed at a load average of 29 (two cases, first calls ended as BROKEN after 3 s): calls of a route without a usual time counted as overdue after 3 s, the target with one slot as silent, and its idempotent calls were ended. A route that takes that long by nature would have been throttled in the same way.

Change: while the usual time of a route is not known, its calls are never overdue. Calls that may not be repeated may also try whether an unreachable target is back, as nothing is sent without a connection.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RunningCalls.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/RunningCalls.java
@@ -14,7 +14,7 @@
 
   private static final double OVERDUE_FACTOR = 8;
   private static final long MIN_OVERDUE_NANOS = 400_000_000L;
-  private static final long UNKNOWN_OVERDUE_NANOS = 3_000_000_000L;
+  private static final long MIN_NESTED_OVERDUE_NANOS = 3_000_000_000L;
   private static final int MAX_ABANDONED = 1_024;
 
   private final RouteBaselines baselines;
@@ -60,12 +60,17 @@
     return marked;
   }
 
-  /** Returns the time after which a call of a route is overdue. */
+  /**
+   * Returns the time after which a call of a route is overdue. While the usual time of its route is
+   * not known, no time is too long.
+   */
   long overdueAfterNanos(String route) {
     double usualUs = baselines.usualUs(route);
+    if (usualUs == 0) {
+      return Long.MAX_VALUE;
+    }
     // Calls that wait for nested ones may take much longer than usual without any fault here.
-    long leastNanos =
-        usualUs == 0 || baselines.isNested(route) ? UNKNOWN_OVERDUE_NANOS : MIN_OVERDUE_NANOS;
+    long leastNanos = baselines.isNested(route) ? MIN_NESTED_OVERDUE_NANOS : MIN_OVERDUE_NANOS;
     return Math.max(leastNanos, (long) (OVERDUE_FACTOR * expectedNanos(usualUs)));
   }
 
@@ -75,7 +80,7 @@
         .filter(PacedCall::isOverdue)
         .mapToLong(call -> overdueAfterNanos(call.route()))
         .min()
-        .orElse(UNKNOWN_OVERDUE_NANOS);
+        .orElse(Long.MAX_VALUE);
   }
 
   private double expectedNanos(double usualUs) {
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/TargetPacer.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/pace/TargetPacer.java
@@ -251,11 +251,8 @@
 
   private boolean isSilent(long nowNanos) {
     int needed = Math.min(MIN_OVERDUE_IF_SILENT, slots);
-    return calls.overdueCount() >= needed && nowNanos - lastSignNanos >= silenceNanos();
-  }
-
-  private long silenceNanos() {
-    return calls.shortestOverdueNanos();
+    return calls.overdueCount() >= needed
+        && nowNanos - lastSignNanos >= calls.shortestOverdueNanos();
   }
 
   /** Returns the number of calls that may run at once. */
@@ -283,13 +280,15 @@
 
   /**
    * Returns whether a call may be sent to a target that does not answer, to learn whether it does
-   * again. If it does not, a call that may not be repeated is lost.
+   * again. A call that may not be repeated is lost if the target is silent still; to an unreachable
+   * target nothing is sent without a connection.
    *
    * @param running number of calls that have a slot of the target
    */
   public boolean mayProbe(boolean idempotent, int running, long nowNanos) {
+    boolean harmless = idempotent || state == PaceState.UNREACHABLE;
     return running < limit(nowNanos)
-        && (idempotent || nowNanos - lastSentNanos >= PROBE_INTERVAL_NANOS);
+        && (harmless || nowNanos - lastSentNanos >= PROBE_INTERVAL_NANOS);
   }
 
   /** Returns whether the target does not answer, so that calls should not wait for it. */
--- a/acaciapond-mesh/src/test/java/org/acaciapond/mesh/pace/TargetPacerTest.java
+++ b/acaciapond-mesh/src/test/java/org/acaciapond/mesh/pace/TargetPacerTest.java
@@ -105,6 +105,14 @@
     assertEquals(PaceState.OPEN, pacer.state());
   }
 
+  @Test
+  void longCallsOfUnknownRouteAreNotOverdue() {
+    sendUnanswered(SLOTS);
+    pass(20_000);
+    assertEquals(0, pacer.checkOverdue(nowNanos));
+    assertEquals(PaceState.OPEN, pacer.state());
+  }
+
   @Test
   void oneLostAnswerDoesNotMakeTheTargetSilent() {
     runCalls(10, CallEnd.ANSWERED);
@@ -122,6 +130,8 @@
     pacer.connectFailed(nowNanos);
     assertEquals(PaceState.UNREACHABLE, pacer.state());
     assertEquals(1, pacer.limit(nowNanos));
+    assertTrue(pacer.mayProbe(false, 0, nowNanos));
+    assertFalse(pacer.mayProbe(true, 1, nowNanos));
     runCall(ROUTE, 100, CallEnd.ANSWERED);
     assertEquals(PaceState.SLOW_START, pacer.state());
   }
