Leave malformed rows of the store out instead of refusing their table

One row with a missing key or version, or with a value that is no base64 text or is empty, made the whole table unreadable: no node of the table was known, or no order of the operator, until the row was gone.

A table with a row that was left out removes none of the held rows. Node rows that cannot be decoded were skipped before and are counted now.

--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRows.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/store/StoreRows.java
@@ -7,5 +7,6 @@
  *
  * @param rows the rows
  * @param version version of the store from which to wait for further changes
+ * @param malformed number of rows that were left out because they have no valid key or version
  */
-public record StoreRows(List<StoreRow> rows, StoreVersion version) {}
+public record StoreRows(List<StoreRow> rows, StoreVersion version, int malformed) {}
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/NodeRegistry.java
@@ -23,6 +23,7 @@
 import org.acaciapond.mesh.target.TargetDepartures;
 import org.acaciapond.sidecar.telemetry.EventLog;
 import org.acaciapond.sidecar.telemetry.NodeMetrics;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Client of the table of nodes in the store: maintains this node's row and reports the rows of
@@ -172,6 +173,7 @@
 
   private void onRows(StoreRows rows) {
     metrics.countStoreCall("ok");
+    metrics.countMalformedRows(StoreArea.NODES, rows.malformed());
     backoffMs = MIN_BACKOFF_MS;
     registered = false;
     tableEra = rows.version().era();
@@ -208,12 +210,7 @@
       NodeRow decoded = NodeRowCodec.decode(row.value());
       NodeRecord node = decoded.node();
       if (!node.key().equals(row.key()) || node.port() < 1 || node.port() > 65_535) {
-        log.event(
-            "node_row_ignored",
-            "key",
-            row.key(),
-            "problem",
-            "key differs from the node key or port is invalid");
+        ignoreRow(row, "key differs from the node key or port is invalid");
       } else if (node.key().equals(self.key())) {
         registered = hasCurrentAddress(node);
         restoreDepartures(decoded.departures());
@@ -221,10 +218,15 @@
         onNode.accept(decoded);
       }
     } catch (PeerException e) {
-      log.event("node_row_ignored", "key", row.key(), "problem", e.getMessage());
+      ignoreRow(row, e.getMessage());
     }
   }
 
+  private void ignoreRow(StoreRow row, @Nullable String problem) {
+    metrics.countMalformedRows(StoreArea.NODES, 1);
+    log.event("node_row_ignored", "key", row.key(), "problem", problem);
+  }
+
   private boolean hasCurrentAddress(NodeRecord node) {
     return node.host().equals(self.host())
         && node.port() == self.port()
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/state/StoreFeed.java
@@ -87,7 +87,10 @@
       return;
     }
     if (version.equals(StoreVersion.NONE)) {
-      store.read(area).subscribe().with(rows -> onResponse(rows, onTable), this::onFailure);
+      store
+          .read(area)
+          .subscribe()
+          .with(rows -> onResponse(rows, tableReceiver(rows)), this::onFailure);
       return;
     }
     Duration changesWait = maxWait.get();
@@ -101,9 +104,15 @@
     }
   }
 
+  // A table with a malformed row does not tell which rows are absent.
+  private Consumer<StoreRows> tableReceiver(StoreRows rows) {
+    return rows.malformed() == 0 ? onTable : onChanges;
+  }
+
   private void onResponse(StoreRows rows, Consumer<StoreRows> receiver) {
     metrics.countStoreCall("ok");
     metrics.setMalformedEras(store.malformedEras());
+    metrics.countMalformedRows(area, rows.malformed());
     if (unavailable) {
       unavailable = false;
       log.event("store_regained", "area", area);
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/telemetry/NodeMetrics.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.util.Locale;
 import org.acaciapond.http.UnexpectedResponse;
+import org.acaciapond.mesh.store.StoreArea;
 
 /** Prometheus metrics of a node. */
 public final class NodeMetrics {
@@ -39,6 +40,7 @@
   private final Gauge skippedEntries;
   private final Gauge evacuatedDomains;
   private final Gauge storeEra;
+  private final Counter malformedRows;
   private final Gauge malformedEras;
 
   /** Creates and registers the metrics. */
@@ -91,6 +93,11 @@
     evacuatedDomains =
         registerGauge(
             "acaciapond_evacuated_domains", "Failure domains whose targets get no calls.");
+    malformedRows =
+        registerCounter(
+            "acaciapond_malformed_rows_total",
+            "Rows of the store that were ignored as malformed.",
+            "area");
     storeEra = registerGauge("acaciapond_store_era", "Latest known era of the store.");
     malformedEras =
         registerGauge(
@@ -205,6 +212,11 @@
     evacuatedDomains.set(count);
   }
 
+  /** Counts rows of the store that were ignored as malformed. */
+  public void countMalformedRows(StoreArea area, int count) {
+    malformedRows.labelValues(area.name().toLowerCase(Locale.ROOT)).inc(count);
+  }
+
   /** Sets the latest known era of the store. */
   public void setStoreEra(long era) {
     storeEra.set(era);
