--- a/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
+++ b/acaciapond-http/src/main/java/org/acaciapond/http/ServerConnection.java
@@ -178,7 +178,7 @@
   private void releasePartialHead() {
     partialHeadBytes = 0;
     if (heldForHead > 0) {
-      long released = heldForHead;
+      final long released = heldForHead;
       heldForHead = 0;
       listener.memory().unregister(head);
       head.restart();
@@ -357,7 +357,7 @@
   }
 
   private void dropReading() {
-    HttpExchange dropped = reading;
+    final HttpExchange dropped = reading;
     reading = null;
     body.clear();
     releasePartialHead();
--- a/acaciapond-http/src/test/java/org/acaciapond/http/UploadQueueTest.java
+++ b/acaciapond-http/src/test/java/org/acaciapond/http/UploadQueueTest.java
@@ -85,8 +85,8 @@
   @Test
   void transferWithoutProgressIsEndedForOneThatWaits() {
     Transfer slow = transfer("slow", 1_000_000);
-    Transfer stalled = transfer("stalled", 1_000_000);
-    Transfer largest = transfer("largest stalled", 3_000_000);
+    final Transfer stalled = transfer("stalled", 1_000_000);
+    final Transfer largest = transfer("largest stalled", 3_000_000);
     account.check();
     slow.moved(100_000);
     account.check();
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -108,7 +108,7 @@
     this.metrics = new NodeMetrics();
     this.time = time;
     final DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
-    NodeRecord self =
+    final NodeRecord self =
         new NodeRecord(
             settings.nodeKey(),
             settings.peer().host(),
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/soak/SoakNode.java
@@ -190,17 +190,6 @@
     return directory.resolve(key + ".conf");
   }
 
-  void start() {
-    start(List.of(), List.of());
-  }
-
-  /** Starts the node with a limit on its open files and records the exceptions that it throws. */
-  public void startObserved(int maxOpenFiles) {
-    start(
-        List.of("sh", "-c", "ulimit -n " + maxOpenFiles + " && exec \"$@\"", "node"),
-        List.of("-Xlog:exceptions=info:file=" + exceptionLog()));
-  }
-
   private Path exceptionLog() {
     return directory.resolve(key + ".exceptions");
   }
@@ -214,6 +203,17 @@
     }
   }
 
+  /** Starts the node with a limit on its open files and records the exceptions that it throws. */
+  public void startObserved(int maxOpenFiles) {
+    start(
+        List.of("sh", "-c", "ulimit -n " + maxOpenFiles + " && exec \"$@\"", "node"),
+        List.of("-Xlog:exceptions=info:file=" + exceptionLog()));
+  }
+
+  void start() {
+    start(List.of(), List.of());
+  }
+
   private void start(List<String> launcher, List<String> options) {
     List<String> command = new ArrayList<>(launcher);
     command.addAll(
