Bundle a request that may be served into one record

Cause: RequestRouter.handle checked, authorized, limited and routed a request in one method, and passed its parts on as 9 and 13 parameters.

Change: IncomingRequest holds the exchange, id, forwarded headers, route, times, parent call and account; authorizing, limiting and routing are methods of their own. No behaviour changes.

--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -169,122 +169,101 @@
       endUnrouted(exchange, id, 400, "no_id", "route", route.name());
       return;
     }
-    int clientTimeoutMs = timeoutMs(exchange.header(headerNames.timeoutMs()));
-    int limitMs = Math.min(clientTimeoutMs, route.timeoutMs());
+    authorize(exchange, id, route, table);
+  }
+
+  private void authorize(HttpExchange exchange, String id, Route route, RouteTable table) {
     String parentId = codec.parentId(id);
     MeshCall parent = parentId == null ? null : gateway.findRunningCall(parentId);
     AccountDirectory accounts = table.state().accounts();
     // Calls that a target makes for a request carry no key; the request itself had one.
     boolean keyNeeded = !route.open() && parent == null;
     Access access = Access.decide(accounts, keyOf(exchange), keyNeeded);
-    if (!access.granted()) {
-      if (parentId != null && exchange.header(headerNames.credentials()) == null) {
-        // A target may make calls for a request that has ended, also after a restart of this node.
-        endUnrouted(exchange, id, 503, "parent_ended", "route", route.name());
-      } else {
-        endUnauthorized(exchange, id, table.version());
-      }
-      return;
+    if (access.granted()) {
+      int clientTimeoutMs = timeoutMs(exchange.header(headerNames.timeoutMs()));
+      limit(
+          new IncomingRequest(
+              exchange,
+              id,
+              forwardedHeaders(exchange, accounts),
+              route,
+              Math.min(clientTimeoutMs, route.timeoutMs()),
+              exchange.receivedNanos() + clientTimeoutMs * NANOS_PER_MS,
+              parent,
+              access.account()));
+    } else if (parentId != null && exchange.header(headerNames.credentials()) == null) {
+      // A target may make calls for a request that has ended, also after a restart of this node.
+      endUnrouted(exchange, id, 503, "parent_ended", "route", route.name());
+    } else {
+      endUnauthorized(exchange, id, table.version());
     }
-    ClientAccount account = access.account();
-    List<String> headers = forwardedHeaders(exchange, accounts);
-    long clientDeadlineNanos = exchange.receivedNanos() + clientTimeoutMs * NANOS_PER_MS;
+  }
+
+  private void limit(IncomingRequest request) {
+    ClientAccount account = request.account();
     if (account == null || !account.limit().isLimited()) {
-      route(
-          exchange,
-          headers,
-          id,
-          route,
-          limitMs,
-          clientDeadlineNanos,
-          parent,
-          account,
-          RequestTokens.UNLIMITED);
+      route(request, RequestTokens.UNLIMITED);
       return;
     }
     waitingForLimit++;
-    int clientLeftMs = clientTimeoutMs - elapsedMs(exchange);
+    long clientLeftMs = (request.clientDeadlineNanos() - time.nanoTime()) / NANOS_PER_MS;
     new LimitedRequest(
-            exchange,
+            request.exchange(),
             accountLimits,
             account,
             tokens -> {
               waitingForLimit--;
-              route(
-                  exchange,
-                  headers,
-                  id,
-                  route,
-                  limitMs,
-                  clientDeadlineNanos,
-                  parent,
-                  account,
-                  tokens);
+              route(request, tokens);
             },
             retryAfterMs -> {
               waitingForLimit--;
-              endOverLimit(exchange, id, route, account, retryAfterMs);
+              endOverLimit(request, account, retryAfterMs);
             },
             () -> {
               waitingForLimit--;
-              recordUnrouted(exchange, id, 0, "client_left", "route", route.name());
+              recordUnrouted(
+                  request.exchange(),
+                  request.id(),
+                  0,
+                  "client_left",
+                  "route",
+                  request.route().name());
             })
-        .start(clientLeftMs / CLIENT_WAIT_DIVISOR);
+        .start((int) (clientLeftMs / CLIENT_WAIT_DIVISOR));
   }
 
-  private void route(
-      HttpExchange exchange,
-      List<String> headers,
-      String id,
-      Route route,
-      int limitMs,
-      long clientDeadlineNanos,
-      @Nullable MeshCall parent,
-      @Nullable ClientAccount account,
-      RequestTokens tokens) {
-    String service = route.selectService(random.getAsDouble());
+  private void route(IncomingRequest incoming, RequestTokens tokens) {
+    String route = incoming.route().name();
+    String service = incoming.route().selectService(random.getAsDouble());
+    Long firstReceivedNanos =
+        room(service)
+            .returns()
+            .takeFirstReceivedNanos(route, incoming.clientDeadlineNanos(), time.nanoTime());
     RoutedRequest request =
         new RoutedRequest(
-            this,
-            exchange,
-            clientDeadlineNanos,
-            room(service)
-                .returns()
-                .takeFirstReceivedNanos(route.name(), clientDeadlineNanos, time.nanoTime()),
-            headers,
-            id,
-            route,
-            service,
-            limitMs,
-            random.getAsDouble(),
-            parent,
-            account,
-            tokens);
+            this, incoming, service, firstReceivedNanos, random.getAsDouble(), tokens);
     openRequests.add(request);
     retries.recordRequest(service);
+    MeshCall parent = incoming.parent();
     if (parent != null && parent.retry()) {
       retries.recordRetry(service);
     }
     request.start();
   }
 
-  private int elapsedMs(HttpExchange exchange) {
-    return (int) ((time.nanoTime() - exchange.receivedNanos()) / 1_000_000);
-  }
-
-  private void endOverLimit(
-      HttpExchange exchange, String id, Route route, ClientAccount account, int retryAfterMs) {
+  private void endOverLimit(IncomingRequest request, ClientAccount account, int retryAfterMs) {
+    HttpExchange exchange = request.exchange();
     metrics.recordRequest("over_limit", time.nanoTime() - exchange.receivedNanos());
     log.request(
         "request_ended",
         "id",
-        id,
+        request.id(),
         "end",
         "over_limit",
         "status",
         429,
         "route",
-        route.name(),
+        request.route().name(),
         "account",
         account.name(),
         "retry_after_ms",
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -81,28 +81,31 @@
   private long deadlineTimer = -1;
   private long hedgeTimer = -1;
 
+  /**
+   * Creates a request that is not started.
+   *
+   * @param firstReceivedNanos when the first try was received, if the client comes back at the time
+   *     that it was told; otherwise null
+   * @param draw random number that decides between the versions of the service
+   * @param tokens tokens of the limit of its account
+   */
   RoutedRequest(
       RequestRouter router,
-      HttpExchange exchange,
-      long clientDeadlineNanos,
-      @Nullable Long firstReceivedNanos,
-      List<String> headers,
-      String id,
-      Route route,
+      IncomingRequest request,
       String service,
-      int limitMs,
+      @Nullable Long firstReceivedNanos,
       double draw,
-      @Nullable MeshCall parent,
-      @Nullable ClientAccount account,
       RequestTokens tokens) {
+    final MeshCall parent = request.parent();
+    final ClientAccount account = request.account();
     this.router = router;
-    this.exchange = exchange;
-    this.headers = headers;
-    this.id = id;
-    this.route = route;
+    this.exchange = request.exchange();
+    this.headers = request.headers();
+    this.id = request.id();
+    this.route = request.route();
     this.service = service;
     this.room = router.room(service);
-    this.clientDeadlineNanos = clientDeadlineNanos;
+    this.clientDeadlineNanos = request.clientDeadlineNanos();
     this.returned = firstReceivedNanos != null;
     this.firstReceivedNanos =
         firstReceivedNanos == null ? exchange.receivedNanos() : firstReceivedNanos;
@@ -111,7 +114,7 @@
             router.time,
             exchange.receivedNanos(),
             this.firstReceivedNanos,
-            limitMs,
+            request.limitMs(),
             route,
             router.latencies.meanServiceUs(route.name()));
     this.draw = draw;
