Evaluate the repeated part of a response before the response is sent

RepeatedResponseTest.failureIsNotTakenForSuccessAfterCutCopy failed in five of some eight runs beside other load: 'expected 200 /safe/4 but was 502 no target of back'. The stand-in target sent a response and then applied the function that the test replaces once the response has arrived, so that the copy behind response 2 could already be the cut one that the test wants behind response 4. Shown by a pause of 50 ms between the two steps: 6 of 6 cases fail in the old order; with the pause after the write in the new order all 14 pass. The checks are unchanged.

--- a/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
+++ b/acaciapond-node/src/test/java/org/acaciapond/node/proxy/RepeatedResponseTest.java
@@ -76,8 +76,9 @@
       while (count > 0) {
         String response = respond(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
         String text = prefix + copy + response;
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        // Before the response is sent, as the test changes the function when it has arrived.
         copy = repeat.apply(response);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         count = socket.getInputStream().read(buffer);
       }
     } catch (IOException e) {
