Add a command that explains where a request would be sent

Operators could not see why a node sends a request to a target without sending one. A node answers GET /explain at the listeners for metrics and readiness from the route table, the access decision, the version filter and the target chooser that decide on requests; acaciapond explain prints the answer. The chooser returns the costs that it compares; it draws the same random numbers in the same order as before. The key of an account is read from a file, sent in the credentials header only, and is neither logged nor returned.

--- a/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
+++ b/acaciapond-architecture/src/test/java/org/acaciapond/architecture/LayersTest.java
@@ -36,6 +36,7 @@
     "org.acaciapond.mesh.limit..",
     "org.acaciapond.mesh.rollout..",
     "org.acaciapond.mesh.call..",
+    "org.acaciapond.mesh.explain..",
     "org.acaciapond.mesh.peer.."
   };
 
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/Cli.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/Cli.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 import org.acaciapond.cli.command.CommandContext;
+import org.acaciapond.cli.command.NodeExplainer;
 import org.acaciapond.cli.command.NodeStatusReader;
 import org.acaciapond.cli.command.Pause;
 import org.acaciapond.cli.output.CliErrorCode;
@@ -20,6 +21,7 @@
   private final PrintStream err;
   private final PlatformAccess platforms;
   private final NodeStatusReader nodes;
+  private final NodeExplainer explainer;
   private final TimeSource time;
   private final Pause pause;
 
@@ -28,12 +30,14 @@
       PrintStream err,
       PlatformAccess platforms,
       NodeStatusReader nodes,
+      NodeExplainer explainer,
       TimeSource time,
       Pause pause) {
     this.out = out;
     this.err = err;
     this.platforms = platforms;
     this.nodes = nodes;
+    this.explainer = explainer;
     this.time = time;
     this.pause = pause;
   }
@@ -52,6 +56,7 @@
           new CommandContext(
               platforms.createClient(arguments.platform()),
               nodes,
+              explainer,
               time,
               pause,
               output,
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/CliMain.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/CliMain.java
@@ -31,6 +31,7 @@
                       new HttpPlatformClient(
                           vertx, address.ip(), address.port(), REQUEST_TIMEOUT_MS),
                   new HttpNodeStatusReader(vertx, REQUEST_TIMEOUT_MS),
+                  new HttpNodeExplainer(vertx, REQUEST_TIMEOUT_MS),
                   TimeSource.system(),
                   createPause())
               .run(args);
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/CommandSpec.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/CommandSpec.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.acaciapond.cli.command.ApplyCommand;
 import org.acaciapond.cli.command.Command;
+import org.acaciapond.cli.command.ExplainCommand;
 import org.acaciapond.cli.command.HistoryCommand;
 import org.acaciapond.cli.command.RolloutCommand;
 import org.acaciapond.cli.command.StatusCommand;
@@ -21,7 +22,13 @@
   WATCH("watch", "", 0, Set.of(), new WatchCommand()),
   ROLLOUT("rollout", "SERVICE VERSION --by DURATION", 2, Set.of("by"), new RolloutCommand()),
   TAKE_BACK(
-      "take-back", "SERVICE VERSION [--reason TEXT]", 2, Set.of("reason"), new TakeBackCommand());
+      "take-back", "SERVICE VERSION [--reason TEXT]", 2, Set.of("reason"), new TakeBackCommand()),
+  EXPLAIN(
+      "explain",
+      "--node IP:PORT --host HOST --path PATH [--method METHOD] [--key-file FILE]",
+      0,
+      Set.of("node", "host", "path", "method", "key-file"),
+      new ExplainCommand());
 
   private final String word;
   private final String usage;
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/ParsedArguments.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/ParsedArguments.java
@@ -7,6 +7,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import org.acaciapond.cli.command.CommandOptions;
+import org.acaciapond.cli.command.ExplainQuestion;
 import org.acaciapond.cli.edit.DurationText;
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
@@ -25,7 +26,7 @@
   private static final int MAX_LIMIT = 1_000_000;
   private static final int MAX_OPERATOR_LENGTH = 128;
   private static final List<String> COMMAND_OPTIONS =
-      List.of("expect", "by", "node", "reason", "limit");
+      List.of("expect", "by", "node", "reason", "limit", "host", "path", "method", "key-file");
 
   static ParsedArguments parse(String[] args) {
     OptionParser parser = new OptionParser(false);
@@ -38,11 +39,18 @@
     OptionSpec<Long> expect = parser.accepts("expect").withRequiredArg().ofType(Long.class);
     OptionSpec<Integer> limit =
         parser.accepts("limit").withRequiredArg().ofType(Integer.class).defaultsTo(DEFAULT_LIMIT);
+    ExplainOptions explain = new ExplainOptions(parser);
     OptionSpec<String> words = parser.nonOptions();
     try {
       OptionSet set = parser.parse(args);
-      CommandSpec spec = parseCommand(set.valuesOf(words), set);
+      CommandSpec spec = parseCommand(set.valuesOf(words));
       List<String> nodes = set.valuesOf(node);
+      List<String> refused = refusedOptions(spec, set);
+      ExplainQuestion question =
+          spec == CommandSpec.EXPLAIN ? explain.parse(set, nodes, refused) : ExplainQuestion.NONE;
+      if (!refused.isEmpty()) {
+        throw invalid(String.join("\n", refused) + "\n" + spec.usage());
+      }
       nodes.forEach(Address::parse);
       CommandOptions options =
           new CommandOptions(
@@ -52,7 +60,8 @@
               Optional.ofNullable(set.valueOf(expect)).map(ParsedArguments::checkSequence),
               Optional.ofNullable(set.valueOf(by)).map(DurationText::parse),
               set.valueOf(reason),
-              checkLimit(set.valueOf(limit)));
+              checkLimit(set.valueOf(limit)),
+              question);
       return new ParsedArguments(spec, Address.parse(set.valueOf(platform)), options);
     } catch (OptionException e) {
       throw invalid(String.valueOf(e.getMessage()));
@@ -73,19 +82,19 @@
     return parser.accepts(name).withRequiredArg().defaultsTo(defaultValue);
   }
 
-  private static CommandSpec parseCommand(List<String> words, OptionSet set) {
+  private static CommandSpec parseCommand(List<String> words) {
     if (words.isEmpty()) {
       throw invalid("no command given\n" + usage());
     }
-    CommandSpec spec =
-        CommandSpec.of(words.get(0))
-            .orElseThrow(() -> invalid("unknown command \"" + words.get(0) + "\"\n" + usage()));
-    for (String option : COMMAND_OPTIONS) {
-      if (set.has(option) && !spec.accepts(option)) {
-        throw invalid("--" + option + " is not an option of this command\n" + spec.usage());
-      }
-    }
-    return spec;
+    return CommandSpec.of(words.get(0))
+        .orElseThrow(() -> invalid("unknown command \"" + words.get(0) + "\"\n" + usage()));
+  }
+
+  private static List<String> refusedOptions(CommandSpec spec, OptionSet set) {
+    return COMMAND_OPTIONS.stream()
+        .filter(option -> set.has(option) && !spec.accepts(option))
+        .map(option -> "--" + option + " is not an option of this command")
+        .toList();
   }
 
   private static List<String> checkArguments(CommandSpec spec, List<String> words) {
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/CommandContext.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/CommandContext.java
@@ -9,6 +9,7 @@
  *
  * @param platform client of the platform
  * @param nodes reader of the status of nodes
+ * @param explainer client that asks nodes about requests
  * @param time clock
  * @param pause pause between two polls of the watch command
  * @param output printer of results and errors
@@ -17,6 +18,7 @@
 public record CommandContext(
     PlatformClient platform,
     NodeStatusReader nodes,
+    NodeExplainer explainer,
     TimeSource time,
     Pause pause,
     Output output,
--- a/acaciapond-cli/src/main/java/org/acaciapond/cli/command/CommandOptions.java
+++ b/acaciapond-cli/src/main/java/org/acaciapond/cli/command/CommandOptions.java
@@ -14,6 +14,7 @@
  * @param by time until the deadline of a rollout
  * @param reason reason for taking a version back
  * @param limit maximum number of edits that the history shows
+ * @param question request that a node is asked about
  */
 public record CommandOptions(
     List<String> arguments,
@@ -22,7 +23,8 @@
     Optional<Long> expect,
     Optional<Duration> by,
     String reason,
-    int limit) {
+    int limit,
+    ExplainQuestion question) {
 
   /** Creates options. */
   public CommandOptions {
--- a/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
+++ b/acaciapond-cli/src/test/java/org/acaciapond/cli/CliTest.java
@@ -19,6 +19,7 @@
 import org.acaciapond.cli.output.CliErrorCode;
 import org.acaciapond.cli.output.CliException;
 import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.cli.output.Output;
 import org.acaciapond.common.time.ManualTimeSource;
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.platform.PlatformServer;
@@ -80,6 +81,7 @@
                 new PrintStream(err, true, StandardCharsets.UTF_8),
                 platforms,
                 nodes,
+                (address, question, key) -> Output.object(),
                 time,
                 this::runNextPoll)
             .run(args);
--- a/acaciapond-cli/src/test/java/org/acaciapond/cli/RacingApplyTest.java
+++ b/acaciapond-cli/src/test/java/org/acaciapond/cli/RacingApplyTest.java
@@ -25,6 +25,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.lifecycle.AfterContainer;
 import org.acaciapond.cli.output.ExitCode;
+import org.acaciapond.cli.output.Output;
 import org.acaciapond.common.time.TimeSource;
 import org.acaciapond.config.version.ConfigVersion;
 import org.acaciapond.platform.PlatformServer;
@@ -57,6 +58,7 @@
             noOutput,
             address -> new HttpPlatformClient(VERTX, IP, port, 2_000),
             address -> ConfigVersion.NONE,
+            (address, question, key) -> Output.object(),
             TimeSource.system(),
             () -> false)
         .run("apply", file.toString(), "--operator", operator);
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/rollout/RolloutRegistry.java
@@ -259,6 +259,14 @@
     return candidate -> candidate.status().version().equals(current);
   }
 
+  /** Returns the share of a service's requests that a version without proof gets, in permille. */
+  public int unprovenSharePermille(String service, long nowNanos) {
+    RolloutOrder order = orders.get(service);
+    return order == null || stateOf(order) != RolloutState.RUNNING
+        ? 0
+        : sharePermille(order, nowNanos);
+  }
+
   private int sharePermille(RolloutOrder order, long nowNanos) {
     ShareGrant grant = grants.get(order.service());
     Long receivedNanos = grantReceivedNanos.get(order.service());
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/Candidate.java
@@ -64,6 +64,11 @@
     evacuated = value;
   }
 
+  /** Returns whether the failure domain of the target is evacuated. */
+  public boolean isEvacuated() {
+    return evacuated;
+  }
+
   /** Returns whether calls may be sent to the target. */
   public boolean acceptsCalls() {
     return !evacuated && status.acceptsCalls();
--- a/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
+++ b/acaciapond-mesh/src/main/java/org/acaciapond/mesh/target/TargetChooser.java
@@ -14,6 +14,9 @@
  */
 public final class TargetChooser {
 
+  /** Largest random part of a cost; among targets whose costs differ by less, any is chosen. */
+  public static final double MAX_RANDOM_COST = 0.004;
+
   private static final double DEFAULT_SERVICE_US = 100_000;
   // Cost of a response that misses the objective but not the deadline, as a share of the request's
   // value.
@@ -29,7 +32,6 @@
   // and accounts for the delay that the call causes to later ones.
   private static final double LOAD_COST = 0.08;
   private static final double OTHER_NODE_COST = 0.002;
-  private static final double MAX_RANDOM_COST = 0.004;
   private static final double AVOIDED_COST = 100;
   // The target's own node decides on admission by exact figures. A call that it would most likely
   // refuse is not sent, as sending costs both nodes.
@@ -62,16 +64,18 @@
       Predicate<Candidate> allowed,
       SelectionCriteria criteria,
       long nowNanos) {
-    double typicalUs = typicalServiceUs(candidates);
-    double otherDomainCost =
-        OTHER_DOMAIN_COST_PER_KB * (CALL_OVERHEAD_BYTES + criteria.responseBytes()) / 1_000;
+    double[] costs = costs(candidates, allowed, criteria, nowNanos);
     Candidate best = null;
     double bestCost = Double.POSITIVE_INFINITY;
-    for (Candidate candidate : candidates) {
-      if (!candidate.acceptsCalls() || !allowed.test(candidate)) {
+    for (int i = 0; i < costs.length; i++) {
+      if (costs[i] == Double.POSITIVE_INFINITY) {
         continue;
       }
-      double cost = cost(candidate, typicalUs, otherDomainCost, criteria, nowNanos);
+      Candidate candidate = candidates.get(i);
+      double cost = costs[i] + MAX_RANDOM_COST * random.getAsDouble();
+      if (candidate.isAvoided(nowNanos)) {
+        cost += AVOIDED_COST;
+      }
       if (cost < bestCost) {
         best = candidate;
         bestCost = cost;
@@ -80,6 +84,30 @@
     return best;
   }
 
+  /**
+   * Returns the expected costs of the candidates in their order, without the random part and the
+   * cost of targets that are avoided. The cost is infinite for a candidate that is not allowed, or
+   * would most likely refuse the request. Changes nothing.
+   */
+  public double[] costs(
+      List<Candidate> candidates,
+      Predicate<Candidate> allowed,
+      SelectionCriteria criteria,
+      long nowNanos) {
+    double typicalUs = typicalServiceUs(candidates);
+    double otherDomainCost =
+        OTHER_DOMAIN_COST_PER_KB * (CALL_OVERHEAD_BYTES + criteria.responseBytes()) / 1_000;
+    double[] costs = new double[candidates.size()];
+    for (int i = 0; i < costs.length; i++) {
+      Candidate candidate = candidates.get(i);
+      costs[i] =
+          candidate.acceptsCalls() && allowed.test(candidate)
+              ? cost(candidate, typicalUs, otherDomainCost, criteria, nowNanos)
+              : Double.POSITIVE_INFINITY;
+    }
+    return costs;
+  }
+
   private double cost(
       Candidate candidate,
       double typicalUs,
@@ -114,8 +142,7 @@
     } else if (!candidate.node().equals(localNode)) {
       cost += OTHER_NODE_COST;
     }
-    cost += MAX_RANDOM_COST * random.getAsDouble();
-    return candidate.isAvoided(nowNanos) ? cost + AVOIDED_COST : cost;
+    return cost;
   }
 
   // For nested calls of low priority this counts too few calls ahead. The target's node refuses
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/SidecarProcess.java
@@ -31,6 +31,7 @@
 import org.acaciapond.mesh.target.TargetChooser;
 import org.acaciapond.rollout.exposure.ExposureLimits;
 import org.acaciapond.rollout.exposure.ExposureSchedule;
+import org.acaciapond.sidecar.call.ExplainHandler;
 import org.acaciapond.sidecar.call.RequestRouter;
 import org.acaciapond.sidecar.control.ControlEndpoint;
 import org.acaciapond.sidecar.control.StatusEndpoint;
@@ -236,7 +237,8 @@
     ControlEndpoint controlEndpoint =
         new ControlEndpoint(vertx, codec, gateway, nodeRegistry::recordDeparture, log, metrics);
     StatusEndpoint statusEndpoint =
-        new StatusEndpoint(codec.readyPath(), this::isReady, log, metrics);
+        new StatusEndpoint(
+            codec.readyPath(), this::isReady, log, metrics, new ExplainHandler(router)::respond);
     outbound =
         createListener(
             settings.outbound(),
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestRouter.java
@@ -26,6 +26,7 @@
 import org.acaciapond.mesh.route.DesiredStateHolder;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.route.RouteTable;
+import org.acaciapond.mesh.target.SelectionCriteria;
 import org.acaciapond.mesh.target.TargetChooser;
 import org.acaciapond.sidecar.limit.AccountLimits;
 import org.acaciapond.sidecar.limit.SharedRetries;
@@ -62,7 +63,7 @@
   final EventLog log;
   final NodeMetrics metrics;
   final TimeSource time;
-  private final DesiredStateHolder desiredState;
+  final DesiredStateHolder desiredState;
   private final DoubleSupplier random;
   private final List<String> systemHeaders;
   private final List<String> systemHeadersWithCredentials;
@@ -117,9 +118,16 @@
     this.time = time;
   }
 
-  /** Returns the requests per second that a cold target of a service tolerates, 0 if any number. */
-  double coldRequestsPerS(String service) {
-    return Math.max(0, desiredState.coldRequestsPerS(service));
+  /** Returns the criteria by which a target is selected for a request. */
+  SelectionCriteria criteria(
+      Route route, String service, int rank, double objectiveLeftUs, double leftUs) {
+    return new SelectionCriteria(
+        responseBytes(route.name()),
+        latencies.meanServiceUs(route.name()),
+        rank,
+        objectiveLeftUs,
+        leftUs,
+        Math.max(0, desiredState.coldRequestsPerS(service)));
   }
 
   /** Returns the smoothed length of a route's responses. */
@@ -288,7 +296,8 @@
         HttpResponse.empty(429, List.of("Retry-After", RetryAfter.seconds(retryAfterMs))));
   }
 
-  private @Nullable String keyOf(HttpExchange exchange) {
+  /** Returns the key that a request carries, or null if it carries not exactly one. */
+  @Nullable String keyOf(HttpExchange exchange) {
     if (HttpMessage.count(exchange.headers(), headerNames.credentials()) != 1) {
       return null;
     }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RequestTimes.java
@@ -32,12 +32,17 @@
     this.time = time;
     this.receivedNanos = receivedNanos;
     this.limitMs = limitMs;
-    int fullMs = route.objectiveMs() > 0 ? route.objectiveMs() : limitMs;
+    int fullMs = objectiveMs(route, limitMs);
     int leftMs = fullMs - (int) ((receivedNanos - firstReceivedNanos) / NANOS_PER_MS);
     this.objectiveMs =
         Math.min(limitMs, leftMs * 1_000.0 > MIN_SERVICE_TIMES_LEFT * serviceUs ? leftMs : fullMs);
   }
 
+  /** Returns the latency objective of requests of a route that have the given time in all. */
+  static int objectiveMs(Route route, int limitMs) {
+    return route.objectiveMs() > 0 ? route.objectiveMs() : limitMs;
+  }
+
   int limitMs() {
     return limitMs;
   }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/RoutedRequest.java
@@ -19,7 +19,6 @@
 import org.acaciapond.mesh.call.Reason;
 import org.acaciapond.mesh.route.Route;
 import org.acaciapond.mesh.target.Candidate;
-import org.acaciapond.mesh.target.SelectionCriteria;
 import org.acaciapond.rollout.evidence.CallResult;
 import org.jspecify.annotations.Nullable;
 
@@ -117,17 +116,17 @@
     this.draw = draw;
     this.parent = parent;
     this.rank =
-        parent == null
-            ? CallRank.ofRequest(priority(route, account))
-            : CallRank.ofNestedCall(parent.rank());
+        parent == null ? rankOfRequest(route, account) : CallRank.ofNestedCall(parent.rank());
     this.log = new RequestLog(router.log, router.metrics, id, route.name());
     this.partOfRetry = parent != null && parent.retry();
     this.account = account == null ? "" : account.name();
     this.tokens = tokens;
   }
 
-  private static int priority(Route route, @Nullable ClientAccount account) {
-    return account == null ? route.priority() : account.priority().orElse(route.priority());
+  /** Returns the rank of a request of a client. */
+  static int rankOfRequest(Route route, @Nullable ClientAccount account) {
+    return CallRank.ofRequest(
+        account == null ? route.priority() : account.priority().orElse(route.priority()));
   }
 
   void start() {
@@ -186,13 +185,7 @@
     return router.chooser.choose(
         candidates,
         candidate -> !triedNodes.contains(candidate.node()) && versionFilter.test(candidate),
-        new SelectionCriteria(
-            router.responseBytes(route.name()),
-            router.latencies.meanServiceUs(route.name()),
-            rank,
-            times.objectiveLeftUs(),
-            times.leftUs(),
-            router.coldRequestsPerS(service)),
+        router.criteria(route, service, rank, times.objectiveLeftUs(), times.leftUs()),
         router.time.nanoTime());
   }
 
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/VersionFilter.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/call/VersionFilter.java
@@ -5,7 +5,6 @@
 import org.acaciapond.mesh.target.Candidate;
 
 /** Filter for the versions of a service to which one request may be sent. */
-@FunctionalInterface
 public interface VersionFilter {
 
   /**
@@ -15,4 +14,7 @@
    *     the old version
    */
   Predicate<Candidate> forRequest(String service, List<Candidate> candidates, double draw);
+
+  /** Returns the share of a service's requests that a version without proof gets, in permille. */
+  int unprovenSharePermille(String service);
 }
--- a/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
+++ b/acaciapond-sidecar/src/main/java/org/acaciapond/sidecar/rollout/RolloutService.java
@@ -202,6 +202,11 @@
     return registry.versionFilter(service, candidates, draw, time.nanoTime());
   }
 
+  @Override
+  public int unprovenSharePermille(String service) {
+    return registry.unprovenSharePermille(service, time.nanoTime());
+  }
+
   @Override
   public void onCallSent(TargetStatus target) {
     if (registry.recordCallSent(target)) {
--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/TestNode.java
@@ -2,8 +2,8 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +30,8 @@
 
   private Vertx nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
   private SidecarProcess process;
+  private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+  private EventLog log;
 
   /** Starts a node of the failure domain "z". */
   public TestNode(String key, String service, int targetPort, int storePort) {
@@ -63,11 +65,12 @@
   }
 
   final void start() {
-    EventLog log =
+    EventLog created =
         new EventLog(
             settings.nodeKey(),
-            new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8),
+            new PrintStream(logBytes, false, StandardCharsets.UTF_8),
             TimeSource.system());
+    log = created;
     CompletableFuture<Void> started = new CompletableFuture<>();
     Vertx vertx = nodeVertx;
     vertx.runOnContext(
@@ -78,7 +81,7 @@
                   settings,
                   new JsonPlatformCodec(1 << 20),
                   new HttpMeshStore(vertx, settings.store(), TimeSource.system()),
-                  log,
+                  created,
                   TimeSource.system());
           process
               .start()
@@ -104,6 +107,13 @@
     blocked.orTimeout(WAIT.toSeconds(), TimeUnit.SECONDS).join();
   }
 
+  /** Returns the lines that the node logged since its start. */
+  String drainLog() {
+    log.start().await().indefinitely();
+    log.stop().await().indefinitely();
+    return logBytes.toString(StandardCharsets.UTF_8);
+  }
+
   /** Stops the node abruptly, as SIGKILL does. */
   void kill() {
     nodeVertx.close().toCompletionStage().toCompletableFuture().join();
