Wait for both targets in the test of explanations

The mesh of the test serves as soon as one target is known, so the nearer target could be unknown when the test began, and the explanation named the other one correctly: 1 of 12 runs failed, with phase UNKNOWN for the nearer target.

--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/ExplainTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/ExplainTest.java
@@ -32,12 +32,21 @@
     for (TestMachine each : mesh) {
       awaitCondition("each node serves", () -> checkInAndGet(mesh, each) == 200);
     }
+    // One target suffices to serve, so the check-in of the other may still be missing.
+    awaitCondition("both targets are known", () -> checkInAndCountReady(mesh) == 2);
     String state = STATE.formatted(3, "").replace("\"a\"", "\"127.0.0.1\"").stripTrailing();
     deployment.store.put("op", "config", state.substring(0, state.length() - 1) + ACCOUNTS);
     awaitCondition(
         "the key is needed", () -> explain("").getString("verdict").equals("UNAUTHORIZED"));
   }
 
+  private long checkInAndCountReady(TestMachine[] mesh) {
+    checkInAndGet(mesh, caller);
+    return service(explain("")).getJsonArray("candidates").stream()
+        .filter(each -> ((JsonObject) each).getString("phase").equals("READY"))
+        .count();
+  }
+
   private HttpResponse<String> get(int port, String path, String key) {
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
