Wait until the caller reaches both targets in the test of invalid statuses

InvalidStatusTest.repeatableRequestIsServedByAnotherTarget failed once in the script of continuous integration beside other load: 502 instead of 200. The mesh of the test serves as soon as one target is known to the caller, as was shown for ExplainTest, so the request had no other target to go to; that it was so in the failed run is not proved. The assertions are unchanged.

--- a/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/InvalidStatusTest.java
+++ b/acaciapond-sidecar/src/test/java/org/acaciapond/sidecar/InvalidStatusTest.java
@@ -30,10 +30,22 @@
   @Test
   void repeatableRequestIsServedByAnotherTarget() throws Exception {
     TestMachine[] mesh = startOrdersMesh(2);
+    // One target suffices to serve, so the caller may not know the other one yet.
+    awaitCondition(
+        "the caller reaches both targets",
+        () -> checkInAndGet(mesh, mesh[0]) == 200 && reaches(mesh, 1) && reaches(mesh, 2));
     mesh[1].target.setResponseFunction(InvalidStatusTest::invalidResponse);
 
     for (int i = 0; i < 4; i++) {
       assertEquals(200, status(mesh[0], "/views/1"));
     }
   }
+
+  private boolean reaches(TestMachine[] mesh, int target) {
+    int runs = mesh[target].target.runs();
+    for (int i = 0; i < 20; i++) {
+      status(mesh[0], "/views/1");
+    }
+    return mesh[target].target.runs() > runs;
+  }
 }
