--- a/review/rig-2/NodeProcess.java
+++ b/review/rig-2/NodeProcess.java
@@ -28,7 +28,7 @@
     this.name = name;
     this.zone = zone;
     this.service = service;
-    this.ip = "127.0.0." + (20 + number);
+    this.ip = "127.0." + (1 + ProcessHandle.current().pid() % 250) + "." + (20 + number);
     int[] ports = Rig.freePorts(ip, 6);
     this.outboundPort = ports[0];
     this.controlPort = ports[1];
--- a/review/rig-2/PipelineTerm.java
+++ b/review/rig-2/PipelineTerm.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Case 7: clients that send further idempotent requests before the first answer, over a link of 20
+ * Case 7: clients that send further idempotent requests before the first answer, over a link of 1,000
  * Mbit/s, while their node is stopped with SIGTERM.
  */
 public final class PipelineTerm {
@@ -21,7 +21,7 @@
   private static final int DEPTH = 3;
   private static final int BODY_BYTES = 9_000;
   private static final int WINDOW_BYTES = 8 << 10;
-  private static final int LINK_BYTES_PER_MS = 2_500;
+  private static final int LINK_BYTES_PER_MS = 125_000;
   private static final int TIMEOUT_MS = 2_500;
   private static final int LOSS_SLACK_MS = 200;
   private static final String CONFIG =
@@ -79,6 +79,7 @@
     if (trouble) {
       caller.signal("TERM");
     } else {
+      Rig.sleep(2_000);
       over = true;
     }
     ended.await(10, TimeUnit.SECONDS);
--- a/review/rig-2/SecondRollout.java
+++ b/review/rig-2/SecondRollout.java
@@ -60,14 +60,14 @@
 
     orderNanos = System.nanoTime();
     store.put("op", "rollout/proofing", order("v2"));
-    Rig.note("the operator orders v2, which fails half of its requests from 9 s on");
+    Rig.note("the operator orders v2, which fails half of its requests from 3 s on");
     badNode.start();
     bad.work = (attempt, path) -> isLate() && attempt.hashCode() % 2 == 0 ? 500 : 200;
     bad.start();
-    sleepUntil(4);
+    sleepUntil(1);
     if (trouble) {
       old.crash();
-      sleepUntil(6);
+      sleepUntil(3);
       old.start();
     }
     Rig.await(
@@ -108,7 +108,7 @@
   }
 
   private static boolean isLate() {
-    return System.nanoTime() - orderNanos > 9_000_000_000L;
+    return System.nanoTime() - orderNanos > 3_000_000_000L;
   }
 
   private static double seconds(long nanos) {
--- a/review/rig-2/UploadBurst.java
+++ b/review/rig-2/UploadBurst.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 8: one client uploads scans, one after the other, while others look up labels over kept
+ * Case 8: one client uploads invoice files, one after the other, while others look up labels over kept
  * connections. With TROUBLE more of the latter come at once for a few seconds.
  */
 public final class UploadBurst {
@@ -26,7 +26,7 @@
       "{\"version\":3,\"routes\":{\"columns\":[\"name\",\"host\",\"path_prefix\",\"kind\","
           + "\"timeout_ms\",\"target_latency_ms\",\"priority\",\"service\",\"max_attempts\","
           + "\"weighted_services\"],\"rows\":[[\"r-scan\",\"scans.example\",\"/scan/\","
-          + "\"upload\",4000,1200,2,\"intake\",2,null],[\"r-label\",\"scans.example\","
+          + "\"idempotent\",1000,400,2,\"intake\",2,null],[\"r-label\",\"scans.example\","
           + "\"/label/\",\"idempotent\",2000,800,1,\"intake\",2,null],[\"r-specimen\","
           + "\"scans.example\",\"/specimen/\",\"idempotent\",2700,800,1,\"catalog\",2,"
           + "null]]},"
@@ -127,12 +127,12 @@
       String end;
       try (Socket socket = new Socket()) {
         socket.connect(new InetSocketAddress(node.ip, node.outboundPort), 1_000);
-        socket.setSoTimeout(4_000);
+        socket.setSoTimeout(2_000);
         Rig.record("sent", attempt + " /scan/1 with " + scan.length + " bytes");
         OutputStream out = socket.getOutputStream();
         String head =
             "POST /scan/1 HTTP/1.1\r\nHost: scans.example\r\nX-Attempt-Id: " + attempt
-                + "\r\nX-Timeout-Ms: 4000\r\nContent-Length: " + scan.length + "\r\n\r\n";
+                + "\r\nX-Timeout-Ms: 1000\r\nContent-Length: " + scan.length + "\r\n\r\n";
         out.write(head.getBytes(StandardCharsets.ISO_8859_1));
         out.write(scan);
         out.flush();
